--- /dev/null
+++ b/include/tanagerlead/version.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Public surface of the library.
+namespace tanagerlead
+{
+
+/// "major.minor.patch".
+char const* version();
+
+} // namespace tanagerlead
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "src/base/address.hpp"
+#include "src/base/error.hpp"
+
+#include <memory>
+#include <thread>
+
+namespace httplib
+{
+class Server;
+}
+
+namespace tanagerlead::http
+{
+
+struct server_settings
+{
+    base::address listen_;
+    int threads_ = 64;
+    std::size_t most_body_bytes_ = std::size_t{16} << 20U;
+};
+
+/// An HTTP server on a thread of its own with a listen backlog that takes
+/// bursts. Handlers are registered on `routes()` before `start`.
+class server
+{
+public:
+    explicit server(server_settings settings);
+    ~server();
+
+    httplib::Server& routes();
+
+    /// Binds (port 0: the kernel picks) and begins to serve.
+    base::result<void> start();
+    void stop();
+    base::address local_address() const { return local_; }
+
+private:
+    class deep_backlog_server;
+
+    server_settings settings_;
+    std::unique_ptr<deep_backlog_server> server_;
+    base::address local_;
+    std::thread thread_;
+};
+
+} // namespace tanagerlead::http
