--- a/src/base/address.hpp
+++ b/src/base/address.hpp
@@ -10,6 +10,10 @@
 namespace tanagerlead::base
 {
 
+/// Length-prefixed text for archives; defined in src/base/serialization.hpp.
+template <class Archive>
+void serialize_text(Archive& archive, std::string& text);
+
 /// An IPv4 address and port.
 struct address
 {
@@ -26,7 +30,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ip_, port_);
+        serialize_text(archive, ip_);
+        archive(port_);
     }
 
     template <class H>
--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -10,6 +10,10 @@
 namespace tanagerlead::base
 {
 
+/// Length-prefixed text for archives; defined in src/base/serialization.hpp.
+template <class Archive>
+void serialize_text(Archive& archive, std::string& text);
+
 /// A name that cannot be mixed up with a name of another kind.
 template <class Tag>
 class name_id
@@ -26,7 +30,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(text_);
+        serialize_text(archive, text_);
     }
 
     template <class H>
