Let the load driver's tests use a fast engine

The two tests that read a whole stream took 1.35 s each, for their planned answers have some 65 words at 20 ms a word. A step of 1 ms shows the same.

--- a/tests/load/load_test.cpp
+++ b/tests/load/load_test.cpp
@@ -22,6 +22,13 @@
      "prompt_tokens": [70, 90], "output_tokens": [60, 70],
      "threads": {"count": 2, "turns": 3, "shared_tokens": 64}}]})";
 
+fakes::engine_settings fast_engine()
+{
+    fakes::engine_settings settings;
+    settings.decode_step_ = 1ms;
+    return settings;
+}
+
 load::scenario read(std::string const& text)
 {
     return load::read_scenario(text).value();
@@ -190,8 +197,9 @@
 {
     load::scenario scenario_ = read(scenario_text);
     std::vector<load::planned_request> plan_ = load::make_plan(scenario_);
-    fakes::engine_server engine_{{"e", {{"127.0.0.1", 0}, 8}, {}, [] {
-                                  }}};
+    fakes::engine_server engine_{
+        {"e", {{"127.0.0.1", 0}, 8}, fast_engine(), [] {
+         }}};
 
     load::request_result send(load::planned_request const& request)
     {
