--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -49,27 +49,40 @@
     return *server_;
 }
 
-base::result<void> server::start()
+base::result<void> server::bind()
 {
-    auto const step = "listen for HTTP";
     auto const wanted = settings_.listen_.str();
     int port = settings_.listen_.port_;
-    bool bound = true;
+    bool taken = true;
     if (port == 0)
     {
         port = server_->bind_to_any_port(settings_.listen_.ip_);
-        bound = port > 0;
+        taken = port > 0;
     }
     else
     {
-        bound = server_->bind_to_port(settings_.listen_.ip_, port);
+        taken = server_->bind_to_port(settings_.listen_.ip_, port);
     }
-    if (!bound || !server_->deepen_backlog())
+    if (!taken || !server_->deepen_backlog())
     {
-        return base::fail(base::error_code::unavailable, step, wanted,
-                          "cannot bind");
+        return base::fail(base::error_code::unavailable, "listen for HTTP",
+                          wanted, "cannot bind");
     }
     local_ = {settings_.listen_.ip_, static_cast<std::uint16_t>(port)};
+    bound_ = true;
+    return base::success();
+}
+
+base::result<void> server::start()
+{
+    if (!bound_)
+    {
+        auto const taken = bind();
+        if (!taken)
+        {
+            return taken.error();
+        }
+    }
     thread_ = std::thread{[this]
                           {
                               server_->listen_after_bind();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -31,7 +31,10 @@
 
     httplib::Server& routes();
 
-    /// Binds (port 0: the kernel picks) and begins to serve.
+    /// Takes the port (0: the kernel picks), so that it can be announced
+    /// before `start`.
+    base::result<void> bind();
+    /// Binds unless that was done, and begins to serve.
     base::result<void> start();
     void stop();
     base::address local_address() const { return local_; }
@@ -42,6 +45,7 @@
     server_settings settings_;
     std::unique_ptr<deep_backlog_server> server_;
     base::address local_;
+    bool bound_ = false;
     std::thread thread_;
 };
 
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -107,7 +107,13 @@
     learn_from_sender(message, now);
     for (auto const& news : message.updates_)
     {
+        // Parts of the list are old news to others.
+        auto const unheard_of = records_.count(news.daemon_) == 0;
         learn(news, now);
+        if (message.kind_ == swim_kind::state && unheard_of)
+        {
+            drop_rumour(news.daemon_);
+        }
     }
     struct handler
     {
@@ -264,11 +270,16 @@
 
 void swim::tell(member const& news)
 {
-    std::erase_if(rumours_, [&](rumour const& old)
-                  { return old.member_.daemon_ == news.daemon_; });
+    drop_rumour(news.daemon_);
     rumours_.push_back({news, 0});
 }
 
+void swim::drop_rumour(base::daemon_id const& daemon)
+{
+    std::erase_if(rumours_, [&daemon](rumour const& old)
+                  { return old.member_.daemon_ == daemon; });
+}
+
 void swim::tell_self()
 {
     tell(self_);
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -122,6 +122,7 @@
     void adopt(member const& news, base::time_point now);
     void set_state(record& known, member_state state, base::time_point now);
     void tell(member const& news);
+    void drop_rumour(base::daemon_id const& daemon);
     void tell_self();
 
     void absorb_pause(base::time_point now);
--- a/tests/membership/swim_network.cpp
+++ b/tests/membership/swim_network.cpp
@@ -78,8 +78,9 @@
         if (random_.uniform() >= loss_ && cuts_.count({node, to}) == 0)
         {
             in_transit_.push(
-                {now_ + delay, order_++, node, to, std::move(bytes)});
+                {now_ + delay, order_, node, to, std::move(bytes)});
         }
+        ++order_;
     }
 }
 
--- a/tests/membership/swim_network.hpp
+++ b/tests/membership/swim_network.hpp
@@ -40,6 +40,7 @@
 
     base::time_point now() const { return now_; }
     std::uint64_t bytes() const { return bytes_; }
+    std::uint64_t messages() const { return order_; }
     std::size_t largest_message() const { return largest_message_; }
     std::size_t size() const { return nodes_.size(); }
 
@@ -75,6 +76,7 @@
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     double loss_ = 0;
     base::time_point now_{std::chrono::hours{1}};
+    /// Numbers the messages sent.
     std::uint64_t order_ = 0;
     std::uint64_t bytes_ = 0;
     std::size_t largest_message_ = 0;
