Serve callers: plain answers, streams, refusals, keys and resumption

Callers had no way in. Two threads carry a request now: one reads the target's answer into a buffer, any number of callers read from that, so a caller that is slow or gone never disturbs the connection to the target. A pure state machine guards that nothing dispatched goes back, and the moment a connection opens, told by the client library's connect hook, separates not sent from may have run. A pool of connections was ruled out: one connection a dispatch cannot hand an unfinished answer to the next request. The server now reads each head whole, with limits on its size and time, and can tell a waiting caller that hung up.

--- /dev/null
+++ b/src/http/caller_api.cpp
@@ -0,0 +1,653 @@
+#include "src/http/caller_api.hpp"
+
+#include "src/http/answer_writer.hpp"
+#include "src/http/authenticator.hpp"
+#include "src/http/caller_options.hpp"
+#include "src/http/generation_body.hpp"
+#include "src/http/request_runner.hpp"
+#include "src/http/server.hpp"
+#include "src/request/issued_key.hpp"
+#include "src/request/prompt_features.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+
+namespace tanagerlead::http
+{
+
+namespace
+{
+
+enum status : int
+{
+    ok = 200,
+    bad_request = 400,
+    unauthorized = 401,
+    forbidden = 403,
+    not_found = 404,
+    unsupported_media_type = 415,
+    unprocessable = 422,
+    service_unavailable = 503,
+};
+
+/// Between looks at whether a waiting caller is still there.
+constexpr base::duration hang_up_poll = std::chrono::milliseconds{100};
+/// After which a caller may try a daemon that is stopping again.
+constexpr base::duration draining_retry = std::chrono::seconds{1};
+/// A call of a plain service counts as so many tokens.
+constexpr base::token_count service_call_tokens = 1;
+
+void refuse_input(int code, char const* word, char const* step,
+                  std::string detail, httplib::Response& response)
+{
+    write_error(
+        code, word,
+        {base::error_code::invalid_argument, step, {}, std::move(detail)},
+        response);
+}
+
+std::string path_of(generation_kind kind)
+{
+    return kind == generation_kind::chat ? "/v1/chat/completions"
+                                         : "/v1/completions";
+}
+
+bool is_read_only(std::string const& method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+/// Headers of a caller that a plain service gets.
+bool passes_on(std::string name)
+{
+    static constexpr std::array kept_back{
+        "accept-encoding",
+        "authorization",
+        "connection",
+        "content-length",
+        "content-type",
+        "expect",
+        "host",
+        "keep-alive",
+        "local_addr",
+        "local_port",
+        "proxy-authorization",
+        "remote_addr",
+        "remote_port",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-non-idempotent",
+        "x-request-id",
+    };
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    return !name.starts_with("x-tanagerlead-") &&
+           std::find(kept_back.begin(), kept_back.end(), name) ==
+               kept_back.end();
+}
+
+/// Path and query behind "/v1/services/POOL", as the caller wrote them.
+std::string service_path(std::string const& target)
+{
+    constexpr std::string_view prefix = "/v1/services/";
+    auto const begin = target.find_first_of("/?", prefix.size());
+    if (begin == std::string::npos)
+    {
+        return "/";
+    }
+    auto const rest = target.substr(begin);
+    return rest.front() == '/' ? rest : '/' + rest;
+}
+
+} // namespace
+
+class caller_api::impl
+{
+public:
+    impl(caller_api_settings settings, caller_api_services const& services);
+
+    void add_routes(httplib::Server& server);
+    void begin_drain() { draining_ = true; }
+    bool wait_until_idle(base::duration longest);
+    void stop() { runner_.stop(); }
+    std::string metrics_text() const { return metrics_.text(); }
+    std::size_t in_flight() const { return runner_.in_flight(); }
+
+private:
+    using request_t = httplib::Request;
+    using response_t = httplib::Response;
+    using handler = void (impl::*)(authenticated const&, request_t const&,
+                                   response_t&);
+
+    /// A request read, checked and ready to be run.
+    struct draft
+    {
+        base::pool_id pool_;
+        /// For the fingerprint: what makes two requests the same.
+        std::string sameness_;
+        request::prompt_features features_;
+        base::token_count most_output_tokens_ = 0;
+        target_call call_;
+        bool stream_ = false;
+        bool model_ = false;
+    };
+
+    httplib::Server::Handler with_workspace(handler method);
+    void chat(authenticated const& caller, request_t const& request,
+              response_t& response);
+    void completion(authenticated const& caller, request_t const& request,
+                    response_t& response);
+    void generate(generation_kind kind, authenticated const& caller,
+                  request_t const& request, response_t& response);
+    void service(authenticated const& caller, request_t const& request,
+                 response_t& response);
+    void find_request(authenticated const& caller, request_t const& request,
+                      response_t& response);
+    void entries(authenticated const& caller, request_t const& request,
+                 response_t& response);
+    void ready(request_t const& request, response_t& response);
+
+    bool may_use(authenticated const& caller, base::pool_id const& pool,
+                 config::pool_kind kind, response_t& response) const;
+    void run(authenticated const& caller, draft&& what,
+             caller_options const& options, request_t const& request,
+             response_t& response);
+    std::shared_ptr<runnable> make_runnable(authenticated const& caller,
+                                            draft&& what,
+                                            caller_options const& options,
+                                            request_t const& request);
+    std::optional<base::duration> grace_of(draft const& what,
+                                           caller_options const& options) const;
+    void submit(std::shared_ptr<runnable> const& work);
+    void deliver(request::record_ptr const& record, std::uint64_t last_event,
+                 response_t& response);
+    std::shared_ptr<reading> read(request::record_ptr const& record);
+    std::vector<request::entry_address>
+    other_entries(request::request_identity const& identity) const;
+
+    caller_api_settings const settings_;
+    caller_api_services const use_;
+    http_target_connection own_targets_;
+    request::request_table table_;
+    request::metrics metrics_;
+    authenticator authenticator_;
+    request_runner runner_;
+    std::atomic<std::uint64_t> next_sequence_{1};
+    std::atomic<bool> draining_{false};
+    std::atomic<int> readers_{0};
+};
+
+caller_api::impl::impl(caller_api_settings settings,
+                       caller_api_services const& services)
+    : settings_{std::move(settings)}, use_{services}, table_{settings_.memory_,
+                                                             use_.clock_},
+      metrics_{settings_.most_metric_workspaces_},
+      authenticator_{use_.configuration_},
+      runner_{{settings_.origin_, settings_.seed_, settings_.target_,
+               settings_.most_connect_tries_, settings_.most_issued_keys_},
+              {use_.dispatcher_, use_.entries_, use_.claims_, use_.clock_,
+               use_.targets_ != nullptr ? *use_.targets_ : own_targets_, table_,
+               metrics_}}
+{
+}
+
+httplib::Server::Handler caller_api::impl::with_workspace(handler method)
+{
+    return [this, method](request_t const& request, response_t& response)
+    {
+        auto const caller =
+            authenticator_.find(request.get_header_value("Authorization"));
+        if (caller.workspace_ == nullptr)
+        {
+            response.set_header("WWW-Authenticate", "Bearer");
+            refuse_input(status::unauthorized, "unknown_key", "authenticate",
+                         "the bearer key belongs to no workspace", response);
+            return;
+        }
+        (this->*method)(caller, request, response);
+    };
+}
+
+void caller_api::impl::add_routes(httplib::Server& server)
+{
+    server.Post("/v1/chat/completions", with_workspace(&impl::chat));
+    server.Post("/v1/completions", with_workspace(&impl::completion));
+    auto const* services = "/v1/services/([^/]+)(?:/.*)?";
+    auto const to_service = with_workspace(&impl::service);
+    server.Get(services, to_service);
+    server.Post(services, to_service);
+    server.Put(services, to_service);
+    server.Patch(services, to_service);
+    server.Delete(services, to_service);
+    auto const find = with_workspace(&impl::find_request);
+    server.Get("/v1/requests/([^/]+)", find);
+    server.Get("/v1/requests/([^/]+)/stream", find);
+    server.Get("/v1/entries", with_workspace(&impl::entries));
+    server.Get("/metrics",
+               [this](request_t const& /*request*/, response_t& response)
+               {
+                   auto const more = use_.more_metrics_;
+                   response.set_content(metrics_.text() +
+                                            (more ? more() : std::string{}),
+                                        "text/plain; version=0.0.4");
+               });
+    server.Get("/healthz", [](request_t const&, response_t& response)
+               { response.set_content("ok\n", "text/plain"); });
+    server.Get("/readyz", [this](request_t const& request, response_t& response)
+               { ready(request, response); });
+}
+
+void caller_api::impl::ready(request_t const& /*request*/, response_t& response)
+{
+    auto const is_ready = !draining_ && use_.entries_.accepts_work();
+    response.status = is_ready ? status::ok : status::service_unavailable;
+    response.set_content(is_ready ? "ready\n" : "not ready\n", "text/plain");
+}
+
+void caller_api::impl::entries(authenticated const& caller,
+                               request_t const& request, response_t& response)
+{
+    std::vector<base::pool_id> pools;
+    if (request.has_param("model"))
+    {
+        pools.emplace_back(request.get_param_value("model"));
+    }
+    else
+    {
+        pools = caller.workspace_->pools_;
+    }
+    auto addresses = nlohmann::json::array();
+    for (auto const& entry :
+         use_.entries_.entries_for(caller.workspace_->id_, pools))
+    {
+        addresses.push_back(entry.address_.str());
+    }
+    nlohmann::json body{
+        {"entries", addresses},
+        {"keep_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                        settings_.keep_entries_)
+                        .count()},
+    };
+    if (runner_.issues_keys())
+    {
+        body["key_prefix"] = request::issued_key_prefix(settings_.origin_);
+    }
+    response.set_content(body.dump(), "application/json");
+}
+
+void caller_api::impl::chat(authenticated const& caller,
+                            request_t const& request, response_t& response)
+{
+    generate(generation_kind::chat, caller, request, response);
+}
+
+void caller_api::impl::completion(authenticated const& caller,
+                                  request_t const& request,
+                                  response_t& response)
+{
+    generate(generation_kind::completion, caller, request, response);
+}
+
+void caller_api::impl::generate(generation_kind kind,
+                                authenticated const& caller,
+                                request_t const& request, response_t& response)
+{
+    if (!request.get_header_value("Content-Type")
+             .starts_with("application/json"))
+    {
+        refuse_input(status::unsupported_media_type, "content_type",
+                     "read request", "Content-Type: must be application/json",
+                     response);
+        return;
+    }
+    auto const options = read_options(request, false);
+    if (!options)
+    {
+        write_error(status::bad_request, "bad_header", options.error(),
+                    response);
+        return;
+    }
+    auto body = parse_generation(request.body, kind);
+    if (!body)
+    {
+        write_error(status::bad_request, "bad_body", body.error(), response);
+        return;
+    }
+    if (!may_use(caller, body.value().model_, config::pool_kind::model,
+                 response))
+    {
+        return;
+    }
+    draft what;
+    what.pool_ = body.value().model_;
+    what.sameness_ = path_of(kind) + request.body;
+    what.features_ = request::extract_features(body.value().prompt_);
+    what.most_output_tokens_ = body.value().most_output_tokens_;
+    what.call_ = {"POST", path_of(kind), {}, "application/json", request.body};
+    what.stream_ = body.value().stream_;
+    what.model_ = true;
+    run(caller, std::move(what), options.value(), request, response);
+}
+
+void caller_api::impl::service(authenticated const& caller,
+                               request_t const& request, response_t& response)
+{
+    if (request.is_multipart_form_data())
+    {
+        refuse_input(status::unsupported_media_type, "content_type",
+                     "read request", "Content-Type: multipart is not supported",
+                     response);
+        return;
+    }
+    auto const options = read_options(request, !is_read_only(request.method));
+    if (!options)
+    {
+        write_error(status::bad_request, "bad_header", options.error(),
+                    response);
+        return;
+    }
+    base::pool_id const pool{request.matches[1].str()};
+    if (!may_use(caller, pool, config::pool_kind::service, response))
+    {
+        return;
+    }
+    draft what;
+    what.pool_ = pool;
+    what.features_.tokens_ = service_call_tokens;
+    what.most_output_tokens_ = service_call_tokens;
+    auto const path = service_path(request.target);
+    what.sameness_ = request.method + ' ' + path + '\n' + request.body;
+    what.call_ = {request.method,
+                  path,
+                  {},
+                  request.get_header_value("Content-Type"),
+                  request.body};
+    for (auto const& [name, value] : request.headers)
+    {
+        if (passes_on(name))
+        {
+            what.call_.headers_.push_back({name, value});
+        }
+    }
+    run(caller, std::move(what), options.value(), request, response);
+}
+
+bool caller_api::impl::may_use(authenticated const& caller,
+                               base::pool_id const& pool,
+                               config::pool_kind kind,
+                               response_t& response) const
+{
+    auto const& known = caller.configuration_->pools_;
+    auto const exists =
+        std::any_of(known.begin(), known.end(),
+                    [&](config::pool_config const& each)
+                    { return each.id_ == pool && each.kind_ == kind; });
+    if (!exists)
+    {
+        refuse_input(status::not_found, "unknown_pool", "look up pool",
+                     "there is no such model or service", response);
+        return false;
+    }
+    auto const& allowed = caller.workspace_->pools_;
+    if (std::find(allowed.begin(), allowed.end(), pool) == allowed.end())
+    {
+        refuse_input(status::forbidden, "pool_not_allowed", "look up pool",
+                     "the workspace may not use it", response);
+        return false;
+    }
+    return true;
+}
+
+std::optional<base::duration>
+caller_api::impl::grace_of(draft const& what,
+                           caller_options const& options) const
+{
+    if (options.non_idempotent_ || !what.model_)
+    {
+        // Stopping it half way would leave its effect unknown.
+        return std::nullopt;
+    }
+    // Nobody can come back to a plain answer without a key.
+    auto const resumable = what.stream_ || !options.idempotency_key_.empty();
+    return resumable ? settings_.resume_grace_ : base::duration{};
+}
+
+std::shared_ptr<runnable>
+caller_api::impl::make_runnable(authenticated const& caller, draft&& what,
+                                caller_options const& options,
+                                request_t const& request)
+{
+    auto const now = use_.clock_.now();
+    request::request_identity identity;
+    identity.id_ = {settings_.origin_, next_sequence_++};
+    identity.workspace_ = caller.workspace_->id_;
+    identity.pool_ = what.pool_;
+    identity.tier_ = caller.workspace_->tier_;
+    identity.key_ = options.idempotency_key_;
+    identity.fingerprint_ = request::fingerprint(
+        identity.workspace_, identity.pool_, what.sameness_);
+    identity.non_idempotent_ = options.non_idempotent_;
+
+    auto work = std::make_shared<runnable>();
+    work->item_ = {identity.id_,
+                   settings_.daemon_,
+                   identity.workspace_,
+                   identity.pool_,
+                   identity.tier_,
+                   what.features_.tokens_,
+                   what.most_output_tokens_,
+                   std::move(what.features_.prefix_),
+                   identity.fingerprint_,
+                   now};
+    if (options.deadline_)
+    {
+        work->item_.deadline_ = now + *options.deadline_;
+    }
+    work->bearer_ = bearer_key(request.get_header_value("Authorization"));
+    work->forwarded_ = options.forwarded_;
+    auto& job = work->job_;
+    job.stream_ = what.stream_;
+    job.model_ = what.model_;
+    job.grace_ = grace_of(what, options);
+    job.call_ = std::move(what.call_);
+    job.call_.headers_.push_back({"X-Request-Id", identity.id_.str()});
+    job.record_ = std::make_shared<request::request_record>(
+        std::move(identity), use_.clock_, settings_.most_answer_bytes_);
+    return work;
+}
+
+void caller_api::impl::run(authenticated const& caller, draft&& what,
+                           caller_options const& options,
+                           request_t const& request, response_t& response)
+{
+    auto const work = make_runnable(caller, std::move(what), options, request);
+    auto const& wanted = work->job_.record_;
+    auto const may_replace = [](request::request_record const& earlier)
+    {
+        auto const end = earlier.answer().end();
+        if (!end || end->outcome_ == request::outcome::complete)
+        {
+            return false;
+        }
+        return end->outcome_ == request::outcome::not_run ||
+               !earlier.identity().non_idempotent_;
+    };
+    // Attached before anybody else can be: the request must not be withdrawn
+    // for want of readers.
+    auto reader = read(wanted);
+    auto const record = table_.add_or_join(wanted, may_replace);
+    if (record == wanted)
+    {
+        submit(work);
+    }
+    else if (record->identity().fingerprint_ != wanted->identity().fingerprint_)
+    {
+        refuse_input(status::unprocessable, "key_reused",
+                     "look up the idempotency key",
+                     "the key was used for another request", response);
+        return;
+    }
+    deliver(record, options.last_event_, response);
+}
+
+void caller_api::impl::submit(std::shared_ptr<runnable> const& work)
+{
+    if (draining_ || !use_.entries_.accepts_work())
+    {
+        runner_.refuse(work, sched::refusal_cause::draining, draining_retry);
+        return;
+    }
+    if (work->item_.deadline_ <= use_.clock_.now())
+    {
+        runner_.refuse(work, sched::refusal_cause::deadline, {});
+        return;
+    }
+    runner_.start(work);
+}
+
+std::shared_ptr<reading>
+caller_api::impl::read(request::record_ptr const& record)
+{
+    ++readers_;
+    return std::make_shared<reading>(record,
+                                     [this](request::record_ptr const& left)
+                                     {
+                                         runner_.reader_left(left);
+                                         --readers_;
+                                     });
+}
+
+void caller_api::impl::deliver(request::record_ptr const& record,
+                               std::uint64_t last_event, response_t& response)
+{
+    auto const reader = read(record);
+    auto const& answer = record->answer();
+    while (!answer.wait_for_head(hang_up_poll))
+    {
+        if (server::caller_is_gone())
+        {
+            return;
+        }
+    }
+    auto const head = answer.head();
+    if (head && head->stream_)
+    {
+        write_stream(reader, last_event, response);
+        return;
+    }
+    while (!answer.wait_for_end(hang_up_poll))
+    {
+        if (server::caller_is_gone())
+        {
+            return;
+        }
+    }
+    auto const end = *answer.end();
+    if (end.outcome_ == request::outcome::complete)
+    {
+        write_content(*record, response);
+        return;
+    }
+    write_end(record->identity(), end, other_entries(record->identity()),
+              response);
+}
+
+std::vector<request::entry_address>
+caller_api::impl::other_entries(request::request_identity const& identity) const
+{
+    auto entries =
+        use_.entries_.entries_for(identity.workspace_, {identity.pool_});
+    std::erase_if(entries, [this](request::entry_address const& each)
+                  { return each.daemon_ == settings_.daemon_; });
+    return entries;
+}
+
+void caller_api::impl::find_request(authenticated const& caller,
+                                    request_t const& request,
+                                    response_t& response)
+{
+    auto const options = read_options(request, false);
+    if (!options)
+    {
+        write_error(status::bad_request, "bad_header", options.error(),
+                    response);
+        return;
+    }
+    base::request_id id;
+    auto const record = base::parse_request_id(request.matches[1].str(), id)
+                            ? table_.find(id, caller.workspace_->id_)
+                            : nullptr;
+    if (!record)
+    {
+        refuse_input(status::not_found, "unknown_request", "look up request",
+                     "this daemon holds no such request", response);
+        return;
+    }
+    deliver(record, options.value().last_event_, response);
+}
+
+bool caller_api::impl::wait_until_idle(base::duration longest)
+{
+    auto const until = std::chrono::steady_clock::now() + longest;
+    constexpr auto poll = std::chrono::milliseconds{20};
+    while (!runner_.wait_until_idle(poll) || readers_ > 0)
+    {
+        if (std::chrono::steady_clock::now() >= until)
+        {
+            return false;
+        }
+        if (readers_ > 0)
+        {
+            std::this_thread::sleep_for(poll);
+        }
+    }
+    return true;
+}
+
+caller_api::caller_api(caller_api_settings settings,
+                       caller_api_services const& services)
+    : impl_{std::make_unique<impl>(std::move(settings), services)}
+{
+}
+
+caller_api::~caller_api() = default;
+
+void caller_api::add_routes(httplib::Server& server)
+{
+    impl_->add_routes(server);
+}
+
+void caller_api::begin_drain()
+{
+    impl_->begin_drain();
+}
+
+bool caller_api::wait_until_idle(base::duration longest)
+{
+    return impl_->wait_until_idle(longest);
+}
+
+void caller_api::stop()
+{
+    impl_->stop();
+}
+
+std::string caller_api::metrics_text() const
+{
+    return impl_->metrics_text();
+}
+
+std::size_t caller_api::in_flight() const
+{
+    return impl_->in_flight();
+}
+
+} // namespace tanagerlead::http
--- /dev/null
+++ b/src/http/request_runner.cpp
@@ -0,0 +1,336 @@
+#include "src/http/request_runner.hpp"
+
+#include "src/http/refusal.hpp"
+#include "src/request/issued_key.hpp"
+
+namespace tanagerlead::http
+{
+
+namespace
+{
+
+constexpr int conflict = 409;
+constexpr int unprocessable = 422;
+constexpr std::size_t most_target_threads = 4096;
+/// Typical wait before another try, where no backlog tells a better one.
+constexpr base::duration usual_retry = std::chrono::seconds{1};
+
+request::answer_end key_reused()
+{
+    return {request::outcome::not_run,
+            unprocessable,
+            "key_reused",
+            {base::error_code::conflict,
+             "look up the idempotency key",
+             {},
+             "the key was used for another request"},
+            {}};
+}
+
+request::answer_end key_unknown(std::string peer, std::string detail)
+{
+    return {request::outcome::unknown,
+            conflict,
+            "key_used",
+            {base::error_code::conflict, "look up the idempotency key",
+             std::move(peer), std::move(detail)},
+            {}};
+}
+
+} // namespace
+
+request_runner::request_runner(runner_settings const& settings,
+                               runner_services const& services)
+    : settings_{settings}, use_{services}, advice_{settings.seed_},
+      issued_keys_{settings.most_issued_keys_}, workers_{most_target_threads}
+{
+}
+
+request_runner::~request_runner()
+{
+    stop();
+}
+
+void request_runner::watch(std::shared_ptr<runnable> const& work)
+{
+    auto& record = *work->job_.record_;
+    {
+        std::lock_guard const lock{mutex_};
+        live_.emplace(record.identity().id_, work);
+    }
+    record.on_end([this, work](request::answer_end const& end)
+                  { on_end(*work, end); });
+}
+
+void request_runner::start(std::shared_ptr<runnable> const& work)
+{
+    watch(work);
+    work->job_.record_->queue();
+    use_.dispatcher_.submit(work->item_,
+                            [this, work](request::decision const& decision)
+                            { decided(work, decision); });
+}
+
+void request_runner::refuse(std::shared_ptr<runnable> const& work,
+                            sched::refusal_cause cause,
+                            base::duration retry_after)
+{
+    watch(work);
+    work->job_.record_->end(refused(cause, retry_after));
+}
+
+void request_runner::on_end(runnable const& work,
+                            request::answer_end const& end)
+{
+    auto const& record = *work.job_.record_;
+    auto const state = record.state();
+    auto const now = use_.clock_.now();
+    auto const tokens = record.tokens();
+    if (end.outcome_ == request::outcome::not_run)
+    {
+        give_back_key(work);
+    }
+    use_.metrics_.add({record.identity().workspace_, record.identity().tier_,
+                       end.outcome_, end.code_, state.waited(now),
+                       state.to_first_output(), state.total(now),
+                       tokens.prompt_, tokens.output_, tokens.cached_});
+    use_.table_.remember(work.job_.record_);
+    std::lock_guard const lock{mutex_};
+    live_.erase(record.identity().id_);
+    ended_.notify_all();
+}
+
+void request_runner::decided(std::shared_ptr<runnable> const& work,
+                             request::decision const& decision)
+{
+    if (auto const* no = std::get_if<request::refuse>(&decision))
+    {
+        // The caller may have gone while the decision was on its way.
+        work->job_.record_->end_if_waiting(
+            refused(no->cause_, no->retry_after_));
+        return;
+    }
+    workers_.post([this, work, to = std::get<request::dispatch_to>(decision)]
+                  { run_granted(work, to); });
+}
+
+void request_runner::run_granted(std::shared_ptr<runnable> const& work,
+                                 request::dispatch_to const& to)
+{
+    auto& record = *work->job_.record_;
+    auto const id = record.identity().id_;
+    if (!record.begin_connect() || may_run(*work) == permission::denied)
+    {
+        use_.dispatcher_.report(
+            {id, to.target_, sched::dispatch_event::declined, {}, 0, 0});
+        return;
+    }
+    target_run run{{use_.targets_, use_.dispatcher_, use_.metrics_, use_.clock_,
+                    settings_.target_},
+                   work->job_,
+                   to};
+    {
+        std::lock_guard const lock{mutex_};
+        runs_[id] = &run;
+        if (stopping_)
+        {
+            run.stop();
+        }
+    }
+    auto const ended = run.run();
+    {
+        std::lock_guard const lock{mutex_};
+        runs_.erase(id);
+    }
+    if (!ended)
+    {
+        not_sent(work);
+    }
+}
+
+void request_runner::not_sent(std::shared_ptr<runnable> const& work)
+{
+    auto& record = *work->job_.record_;
+    if (record.state().final())
+    {
+        return;
+    }
+    ++work->connect_tries_;
+    if (work->connect_tries_ < settings_.most_connect_tries_)
+    {
+        use_.dispatcher_.resubmit(
+            work->item_, [this, work](request::decision const& decision)
+            { decided(work, decision); });
+        return;
+    }
+    record.end_if_waiting(
+        refused(sched::refusal_cause::no_target, advice_.around(usual_retry)));
+}
+
+void request_runner::reader_left(request::record_ptr const& record)
+{
+    auto const id = record->identity().id_;
+    if (record->withdraw_if_unread())
+    {
+        use_.dispatcher_.withdraw(id);
+        return;
+    }
+    std::lock_guard const lock{mutex_};
+    auto const found = runs_.find(id);
+    if (found != runs_.end())
+    {
+        found->second->stop_if_abandoned();
+    }
+}
+
+std::size_t request_runner::in_flight() const
+{
+    std::lock_guard const lock{mutex_};
+    return live_.size();
+}
+
+bool request_runner::wait_until_idle(base::duration longest)
+{
+    std::unique_lock lock{mutex_};
+    return ended_.wait_for(lock, longest, [this] { return live_.empty(); });
+}
+
+void request_runner::stop()
+{
+    decltype(live_) left;
+    {
+        std::lock_guard const lock{mutex_};
+        stopping_ = true;
+        left = live_;
+        for (auto const& [id, run] : runs_)
+        {
+            run->stop();
+        }
+    }
+    for (auto const& [id, work] : left)
+    {
+        auto& record = *work->job_.record_;
+        if (record.end_if_waiting(refused(sched::refusal_cause::draining, {})))
+        {
+            use_.dispatcher_.withdraw(id);
+        }
+    }
+    workers_.stop();
+}
+
+request_runner::permission request_runner::may_run(runnable& work)
+{
+    auto const& identity = work.job_.record_->identity();
+    if (!identity.non_idempotent_ || work.right_ != run_right::none)
+    {
+        return permission::granted;
+    }
+    auto const issuer = request::issuer_of(identity.key_);
+    return issuer == settings_.origin_ ? use_issued_key(work) : use_claim(work);
+}
+
+request_runner::permission request_runner::use_issued_key(runnable& work)
+{
+    // A key with the own prefix is run by this life of this daemon alone, so
+    // its memory decides, without a write to the store. That is safe for as
+    // long as this process lives: used keys are never forgotten. When there
+    // is no room for another key, it falls back to a claim, and no further
+    // key can be issued. Once this life has ended, every daemon answers
+    // `unknown` for the key.
+    auto const& identity = work.job_.record_->identity();
+    switch (issued_keys_.insert(identity.workspace_, identity.key_))
+    {
+    case request::key_set::insertion::added:
+        work.right_ = run_right::issued_key;
+        return permission::granted;
+    case request::key_set::insertion::present:
+        return deny(work, key_unknown({}, "the key was used, and its answer "
+                                          "is no longer remembered"));
+    case request::key_set::insertion::full:
+        return use_claim(work);
+    }
+    return permission::denied;
+}
+
+request_runner::permission request_runner::use_claim(runnable& work)
+{
+    // Claimed after the grant: a claim outlives a refusal, and under overload
+    // most refusals come before a grant. The target's slot waits meanwhile,
+    // for some milliseconds.
+    auto const& identity = work.job_.record_->identity();
+    auto const& key = identity.key_;
+    auto const held = use_.claims_.acquire(
+        {identity.workspace_, key, identity.id_, identity.fingerprint_});
+    if (!held)
+    {
+        // The claim may have been written; nobody else will run it then.
+        work.right_ = run_right::claim;
+        work.claim_holder_ = identity.id_;
+        auto end = refused(sched::refusal_cause::store_unavailable,
+                           advice_.around(usual_retry));
+        end.error_ = held.error();
+        return deny(work, std::move(end));
+    }
+    auto const& holder = held.value();
+    if (holder.fingerprint_ != identity.fingerprint_)
+    {
+        return deny(work, key_reused());
+    }
+    if (holder.holder_.origin_ != settings_.origin_)
+    {
+        return use_foreign_claim(work, holder);
+    }
+    if (holder.holder_ == identity.id_ || take_unused_claim(holder.holder_))
+    {
+        work.right_ = run_right::claim;
+        work.claim_holder_ = holder.holder_;
+        return permission::granted;
+    }
+    return deny(work, key_unknown({}, "the key was used, and its answer is "
+                                      "no longer remembered"));
+}
+
+request_runner::permission
+request_runner::use_foreign_claim(runnable& work, request::claim const& holder)
+{
+    auto const address = use_.entries_.address_of(holder.holder_.origin_);
+    return deny(work, key_unknown(address.str(),
+                                  "another daemon was given this request"));
+}
+
+request_runner::permission request_runner::deny(runnable& work,
+                                                request::answer_end how)
+{
+    work.job_.record_->end(std::move(how));
+    return permission::denied;
+}
+
+void request_runner::give_back_key(runnable const& work)
+{
+    auto const& identity = work.job_.record_->identity();
+    switch (work.right_)
+    {
+    case run_right::none:
+        break;
+    case run_right::issued_key:
+        issued_keys_.erase(identity.workspace_, identity.key_);
+        break;
+    case run_right::claim:
+    {
+        std::lock_guard const lock{mutex_};
+        if (unused_claims_.size() < settings_.most_issued_keys_)
+        {
+            unused_claims_.insert(work.claim_holder_);
+        }
+        break;
+    }
+    }
+}
+
+bool request_runner::take_unused_claim(base::request_id holder)
+{
+    std::lock_guard const lock{mutex_};
+    return unused_claims_.erase(holder) > 0;
+}
+
+} // namespace tanagerlead::http
--- /dev/null
+++ b/src/http/request_runner.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "src/http/target_run.hpp"
+#include "src/http/worker_pool.hpp"
+#include "src/request/claim_store.hpp"
+#include "src/request/dispatcher.hpp"
+#include "src/request/key_set.hpp"
+#include "src/request/metrics.hpp"
+#include "src/request/request_table.hpp"
+#include "src/request/retry_advice.hpp"
+#include "src/sched/types.hpp"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <memory>
+#include <unordered_map>
+
+namespace tanagerlead::http
+{
+
+enum class run_right
+{
+    none,
+    /// Its key was issued by this life of the daemon and not used before.
+    issued_key,
+    /// The claim in the store is this daemon's.
+    claim,
+};
+
+/// A request on its way through scheduling and targets.
+struct runnable
+{
+    target_job job_;
+    sched::work_item item_;
+    /// Bearer key of its caller, for a request that another daemon answers.
+    std::string bearer_;
+    /// Sent here by another daemon, and not to be sent on.
+    bool forwarded_ = false;
+    int connect_tries_ = 0;
+    /// Why a non-idempotent request may be run here.
+    run_right right_ = run_right::none;
+    /// Request that the claim names: this one, or an earlier one that was not
+    /// run.
+    base::request_id claim_holder_;
+};
+
+struct runner_settings
+{
+    std::uint64_t origin_ = 0;
+    std::uint64_t seed_ = 0;
+    target_limits target_;
+    int most_connect_tries_ = 0;
+    std::size_t most_issued_keys_ = 0;
+};
+
+/// What the runner works with; all must outlive it.
+struct runner_services
+{
+    request::dispatcher& dispatcher_;
+    request::entry_directory& entries_;
+    request::claim_store& claims_;
+    base::clock const& clock_;
+    target_connection& targets_;
+    request::request_table& table_;
+    request::metrics& metrics_;
+};
+
+/// Takes requests from their submission to their end. Any thread.
+class request_runner
+{
+public:
+    request_runner(runner_settings const& settings,
+                   runner_services const& services);
+    ~request_runner();
+
+    /// The request is in the table and has not been submitted. Returns at
+    /// once; the end shows in the record.
+    void start(std::shared_ptr<runnable> const& work);
+    /// Ends the request as refused, before it was submitted.
+    void refuse(std::shared_ptr<runnable> const& work,
+                sched::refusal_cause cause, base::duration retry_after);
+
+    /// A caller stopped reading.
+    void reader_left(request::record_ptr const& record);
+
+    /// Whether keys with the own prefix need no claim.
+    bool issues_keys() const { return !issued_keys_.full(); }
+    /// Requests that have not ended.
+    std::size_t in_flight() const;
+    bool wait_until_idle(base::duration longest);
+    /// Refuses what waits and cuts what still runs.
+    void stop();
+
+private:
+    enum class permission
+    {
+        /// This daemon may run it, and nobody else will.
+        granted,
+        /// It has been ended.
+        denied,
+    };
+
+    void watch(std::shared_ptr<runnable> const& work);
+    void on_end(runnable const& work, request::answer_end const& end);
+    void decided(std::shared_ptr<runnable> const& work,
+                 request::decision const& decision);
+    void run_granted(std::shared_ptr<runnable> const& work,
+                     request::dispatch_to const& to);
+    void not_sent(std::shared_ptr<runnable> const& work);
+    permission may_run(runnable& work);
+    permission use_issued_key(runnable& work);
+    permission use_claim(runnable& work);
+    permission use_foreign_claim(runnable& work, request::claim const& holder);
+    permission deny(runnable& work, request::answer_end how);
+    bool take_unused_claim(base::request_id holder);
+    /// After the proof that it was not run: a repeat may.
+    void give_back_key(runnable const& work);
+
+    runner_settings const settings_;
+    runner_services const use_;
+    request::retry_advice advice_;
+    /// Keys with the own prefix that were used, each until a `not_run`.
+    request::key_set issued_keys_;
+    /// Requests of this daemon that were not run, and may hold a claim under
+    /// which a repeat of them may be. When one is forgotten, its key answers
+    /// `unknown`.
+    absl::flat_hash_set<base::request_id> unused_claims_;
+
+    mutable std::mutex mutex_;
+    std::condition_variable ended_;
+    std::unordered_map<base::request_id, std::shared_ptr<runnable>> live_;
+    std::unordered_map<base::request_id, target_run*> runs_;
+    bool stopping_ = false;
+
+    worker_pool workers_;
+};
+
+} // namespace tanagerlead::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/address.hpp"
 #include "src/base/error.hpp"
+#include "src/base/units.hpp"
 
 #include <memory>
 #include <thread>
@@ -19,6 +20,13 @@
     base::address listen_;
     int threads_ = 64;
     std::size_t most_body_bytes_ = std::size_t{16} << 20U;
+    /// Request line and headers.
+    std::size_t most_head_bytes_ = std::size_t{64} << 10U;
+    /// From a request's first byte to the end of its body.
+    base::duration longest_request_ = std::chrono::seconds{60};
+    /// A caller that reads nothing for so long is cut off.
+    base::duration longest_write_ = std::chrono::seconds{30};
+    base::duration keep_idle_ = std::chrono::seconds{15};
 };
 
 /// An HTTP server on a thread of its own with a listen backlog that takes
@@ -36,6 +44,9 @@
     void stop();
     base::address local_address() const { return local_; }
 
+    /// On a thread that handles a request: whether its caller hung up.
+    static bool caller_is_gone();
+
 private:
     class deep_backlog_server;
 
--- /dev/null
+++ b/src/request/answer_buffer.cpp
@@ -0,0 +1,104 @@
+#include "src/request/answer_buffer.hpp"
+
+#include <cassert>
+
+namespace tanagerlead::request
+{
+
+namespace
+{
+// One write to a caller; a slow reader catches up in pieces of this size.
+constexpr std::size_t most_slice_bytes = std::size_t{256} << 10U;
+} // namespace
+
+void answer_buffer::begin(answer_head head)
+{
+    std::lock_guard const lock{mutex_};
+    assert(!head_);
+    head_ = std::move(head);
+    changed_.notify_all();
+}
+
+bool answer_buffer::append(std::string event)
+{
+    std::lock_guard const lock{mutex_};
+    assert(!end_);
+    if (bytes_ + event.size() > most_bytes_)
+    {
+        return false;
+    }
+    bytes_ += event.size();
+    events_.push_back(std::move(event));
+    changed_.notify_all();
+    return true;
+}
+
+void answer_buffer::finish(answer_end end)
+{
+    std::lock_guard const lock{mutex_};
+    if (!end_)
+    {
+        end_ = std::move(end);
+        changed_.notify_all();
+    }
+}
+
+bool answer_buffer::wait_for_head(base::duration longest) const
+{
+    std::unique_lock lock{mutex_};
+    return changed_.wait_for(lock, longest, [this] { return head_ || end_; });
+}
+
+bool answer_buffer::wait_for_end(base::duration longest) const
+{
+    std::unique_lock lock{mutex_};
+    return changed_.wait_for(lock, longest,
+                             [this] { return end_.has_value(); });
+}
+
+answer_buffer::slice answer_buffer::read_after(std::uint64_t after,
+                                               base::duration longest) const
+{
+    std::unique_lock lock{mutex_};
+    changed_.wait_for(lock, longest,
+                      [this, after] { return events_.size() > after || end_; });
+    slice result;
+    result.last_ = after;
+    while (result.last_ < events_.size() &&
+           result.bytes_.size() < most_slice_bytes)
+    {
+        result.bytes_ += events_[result.last_];
+        ++result.last_;
+    }
+    if (result.last_ >= events_.size())
+    {
+        result.end_ = end_;
+    }
+    return result;
+}
+
+std::optional<answer_head> answer_buffer::head() const
+{
+    std::lock_guard const lock{mutex_};
+    return head_;
+}
+
+std::optional<answer_end> answer_buffer::end() const
+{
+    std::lock_guard const lock{mutex_};
+    return end_;
+}
+
+std::uint64_t answer_buffer::last_event() const
+{
+    std::lock_guard const lock{mutex_};
+    return events_.size();
+}
+
+std::size_t answer_buffer::bytes() const
+{
+    std::lock_guard const lock{mutex_};
+    return bytes_;
+}
+
+} // namespace tanagerlead::request
