--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -1,5 +1,5 @@
 #include "tests/fakes/engine_server.hpp"
-#include "tests/fakes/ready_line.hpp"
+#include "tests/fakes/fake_main.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -60,13 +60,10 @@
     absl::SetProgramUsageMessage("stand-in for a model engine");
     absl::ParseCommandLine(argc, argv);
     fakes::block_stop_signals();
-    auto const listen = base::parse_address(absl::GetFlag(FLAGS_listen));
-    if (!listen)
-    {
-        return fail(listen.error());
-    }
+    auto const listen =
+        fakes::listen_address_or_exit(absl::GetFlag(FLAGS_listen));
     fakes::engine_server engine{{absl::GetFlag(FLAGS_name),
-                                 {listen.value(), absl::GetFlag(FLAGS_threads)},
+                                 {listen, absl::GetFlag(FLAGS_threads)},
                                  read_engine_flags(),
                                  []
                                  {
--- a/tests/fakes/fake_service.cpp
+++ b/tests/fakes/fake_service.cpp
@@ -1,4 +1,4 @@
-#include "tests/fakes/ready_line.hpp"
+#include "tests/fakes/fake_main.hpp"
 #include "tests/fakes/service_server.hpp"
 
 #include <absl/flags/flag.h>
@@ -35,14 +35,11 @@
     absl::SetProgramUsageMessage("stand-in for a plain service");
     absl::ParseCommandLine(argc, argv);
     fakes::block_stop_signals();
-    auto const listen = base::parse_address(absl::GetFlag(FLAGS_listen));
-    if (!listen)
-    {
-        return fail(listen.error());
-    }
+    auto const listen =
+        fakes::listen_address_or_exit(absl::GetFlag(FLAGS_listen));
     fakes::service_server service{
         {absl::GetFlag(FLAGS_name),
-         {listen.value(), absl::GetFlag(FLAGS_threads)},
+         {listen, absl::GetFlag(FLAGS_threads)},
          base::from_seconds(absl::GetFlag(FLAGS_delay_ms) / 1e3),
          absl::GetFlag(FLAGS_slots),
          []
