--- a/tests/fakes/engine_server.cpp
+++ b/tests/fakes/engine_server.cpp
@@ -371,7 +371,8 @@
         model_.advance(clock_.now(), changed);
         for (auto const number : changed)
         {
-            if (model_.at(number).crashes_)
+            auto const& item = model_.at(number);
+            if (item.crashes_ && item.generated_tokens_ == 1)
             {
                 settings_.crash_();
             }
