Assemble the daemon

Cause: the parts run in one process only when something starts them in order and stops them without cutting a stream. Weighed: binding ports inside each service, ruled out because the membership descriptor needs all ports before any service starts. Conclusion: a library with a thin main; include/tanagerlead/daemon.hpp is its public surface.

--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,323 @@
+#include <tanagerlead/daemon.hpp>
+
+#include "src/base/log.hpp"
+#include "src/base/random.hpp"
+#include "src/cell/scheduling_service.hpp"
+#include "src/config/config_service.hpp"
+#include "src/config/settings_file.hpp"
+#include "src/daemon/http_service.hpp"
+#include "src/daemon/peer_copies.hpp"
+#include "src/kernel/kernel.hpp"
+#include "src/platform/etcd_store.hpp"
+#include "src/platform/http_host_list.hpp"
+#include "src/sched/cell_scheduler.hpp"
+
+#include <sys/socket.h>
+
+#include <chrono>
+
+namespace tanagerlead
+{
+
+namespace
+{
+
+base::log const& logger()
+{
+    static base::log const instance{"daemon"};
+    return instance;
+}
+
+/// Refuses every non-idempotent request: nothing could be claimed.
+class no_claims final : public request::claim_store
+{
+public:
+    base::result<request::claim> acquire(request::claim const&) override
+    {
+        return base::fail(base::error_code::unavailable, "acquire claim", {},
+                          "no claim store");
+    }
+};
+
+/// UDP and TCP sockets with one port number.
+struct peer_sockets
+{
+    peer::socket tcp_;
+    peer::socket udp_;
+};
+
+base::result<peer_sockets> bind_peer_sockets(base::address const& wanted)
+{
+    // A port that the kernel picks for TCP may be taken for UDP.
+    constexpr int tries = 16;
+    for (int i = 0; i < tries; ++i)
+    {
+        auto tcp = peer::bind_socket(SOCK_STREAM, wanted);
+        if (!tcp)
+        {
+            return tcp.error();
+        }
+        auto udp =
+            peer::bind_socket(SOCK_DGRAM, peer::local_address(tcp.value()));
+        if (udp)
+        {
+            return peer_sockets{std::move(tcp).value(), std::move(udp).value()};
+        }
+        if (wanted.port_ != 0)
+        {
+            return udp.error();
+        }
+    }
+    return base::fail(base::error_code::unavailable, "bind peer sockets",
+                      wanted.str(), "no port free for both UDP and TCP");
+}
+
+base::incarnation first_incarnation()
+{
+    // Later lives of a daemon must have larger numbers, and nothing is kept.
+    auto const since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    auto const us =
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch);
+    return base::incarnation{static_cast<std::uint64_t>(us.count())};
+}
+
+} // namespace
+
+class daemon::impl
+{
+public:
+    explicit impl(config::settings settings);
+
+    base::result<void> start();
+    bool drain(base::duration longest);
+    void stop();
+
+    base::address const& http_address() const { return self_.http_address_; }
+    base::address const& peer_address() const { return self_.peer_address_; }
+
+private:
+    base::result<void> bind();
+    void add_control_services();
+    void add_scheduling();
+    void add_http();
+    cell::scheduling_settings scheduling();
+
+    config::settings settings_;
+    membership::member self_;
+    base::steady_clock clock_;
+    platform::etcd_store store_;
+    no_claims claims_;
+    std::unique_ptr<http::server> server_;
+    peer_sockets sockets_;
+    std::unique_ptr<platform::host_list> host_list_;
+    kernel::kernel services_;
+};
+
+daemon::impl::impl(config::settings settings)
+    : settings_{std::move(settings)}, store_{platform::etcd_settings{
+                                          settings_.key_value_, {}}}
+{
+    self_.daemon_ = settings_.daemon_;
+    self_.host_ = settings_.host_;
+    self_.data_centre_ = settings_.data_centre_;
+    self_.incarnation_ = first_incarnation();
+    self_.origin_ = base::entropy();
+    if (!settings_.host_list_.empty())
+    {
+        host_list_ = std::make_unique<platform::http_host_list>(
+            settings_.host_list_, platform::http_timeouts{});
+    }
+}
+
+base::result<void> daemon::impl::bind()
+{
+    http::server_settings http;
+    http.listen_ = settings_.http_;
+    http.threads_ = settings_.caller_threads_;
+    server_ = std::make_unique<http::server>(http);
+    auto taken = server_->bind();
+    if (!taken)
+    {
+        return taken;
+    }
+    auto sockets = bind_peer_sockets(settings_.peer_);
+    if (!sockets)
+    {
+        return sockets.error();
+    }
+    sockets_ = std::move(sockets).value();
+    self_.http_address_ = server_->local_address();
+    self_.peer_address_ = peer::local_address(sockets_.udp_);
+    return base::success();
+}
+
+base::result<void> daemon::impl::start()
+{
+    auto bound = bind();
+    if (!bound)
+    {
+        return bound;
+    }
+    add_control_services();
+    add_scheduling();
+    add_http();
+    auto started = services_.start();
+    if (started)
+    {
+        logger().info("Daemon " + self_.daemon_.str() + " serves callers at " +
+                      http_address().str() + " and peers at " +
+                      peer_address().str() + ".");
+    }
+    return started;
+}
+
+void daemon::impl::add_control_services()
+{
+    services_.add(kernel::control_thread::service_name,
+                  std::make_unique<kernel::control_thread>(clock_));
+    services_.add(peer::membership_service::service_name,
+                  std::make_unique<peer::membership_service>(
+                      self_, membership::swim_settings{},
+                      std::move(sockets_.udp_), settings_.peer_secret_,
+                      settings_.seeds_));
+    auto configuration = std::make_unique<config::config_service>(
+        self_.daemon_, store_, self_.origin_);
+    auto copies = std::make_unique<daemon_parts::peer_copies>(
+        std::move(sockets_.tcp_), settings_.peer_secret_, self_);
+    configuration->set_peer_fetch(
+        [&from = *copies](base::address const& peer, std::string const& request)
+        { return from.fetch(peer, request); });
+    services_.add(config::config_service::service_name,
+                  std::move(configuration));
+    services_.add(daemon_parts::peer_copies::service_name, std::move(copies));
+}
+
+cell::scheduling_settings daemon::impl::scheduling()
+{
+    cell::scheduling_settings chosen;
+    chosen.make_scheduler_ = [policy = settings_.policy_]
+    {
+        return sched::make_scheduler(policy);
+    };
+    if (host_list_)
+    {
+        chosen.read_hosts_ = [this]
+        {
+            return host_list_->read();
+        };
+    }
+    auto& configuration = services_.find<config::config_service>(
+        config::config_service::service_name);
+    chosen.store_reachable_ = [&configuration]
+    {
+        return configuration.may_take_work();
+    };
+    return chosen;
+}
+
+void daemon::impl::add_scheduling()
+{
+    auto& control = services_.find<kernel::control_thread>(
+        kernel::control_thread::service_name);
+    auto& configuration = services_.find<config::config_service>(
+        config::config_service::service_name);
+    auto& members = services_.find<peer::membership_service>(
+        peer::membership_service::service_name);
+    services_.add(cell::scheduling_service::service_name,
+                  std::make_unique<cell::scheduling_service>(
+                      scheduling(), control, configuration, members, members));
+}
+
+void daemon::impl::add_http()
+{
+    http::caller_api_settings callers;
+    callers.daemon_ = self_.daemon_;
+    callers.origin_ = self_.origin_;
+    callers.seed_ = base::entropy();
+    std::vector<daemon_parts::http_service::add_routes> operator_apis;
+    services_.add(daemon_parts::http_service::service_name,
+                  std::make_unique<daemon_parts::http_service>(
+                      std::move(server_), callers, claims_, clock_,
+                      std::move(operator_apis)));
+}
+
+bool daemon::impl::drain(base::duration longest)
+{
+    logger().info("Planned stop begins.");
+    services_
+        .find<cell::scheduling_service>(cell::scheduling_service::service_name)
+        .leave();
+    services_
+        .find<peer::membership_service>(peer::membership_service::service_name)
+        .leave();
+    auto& callers = services_
+                        .find<daemon_parts::http_service>(
+                            daemon_parts::http_service::service_name)
+                        .callers();
+    callers.begin_drain();
+    auto const idle = callers.wait_until_idle(longest);
+    logger().info(idle ? "Nothing is left in flight."
+                       : "Requests are still in flight.");
+    return idle;
+}
+
+void daemon::impl::stop()
+{
+    services_.stop();
+}
+
+std::unique_ptr<daemon> daemon::create(std::string const& settings_text,
+                                       std::vector<std::string>& problems)
+{
+    auto checked = config::parse_settings(settings_text);
+    for (auto const& wrong : checked.errors_)
+    {
+        problems.push_back(wrong.str());
+    }
+    if (!checked.ok())
+    {
+        return nullptr;
+    }
+    base::start_logging(checked.settings_.log_);
+    return std::unique_ptr<daemon>{
+        new daemon{std::make_unique<impl>(std::move(checked.settings_))}};
+}
+
+daemon::daemon(std::unique_ptr<impl> parts) : impl_{std::move(parts)}
+{
+}
+
+daemon::~daemon() = default;
+
+bool daemon::start(std::string& problem)
+{
+    auto const started = impl_->start();
+    if (!started)
+    {
+        problem = started.error().str();
+    }
+    return started.has_value();
+}
+
+std::string daemon::http_address() const
+{
+    return impl_->http_address().str();
+}
+
+std::string daemon::peer_address() const
+{
+    return impl_->peer_address().str();
+}
+
+bool daemon::drain(std::chrono::milliseconds longest)
+{
+    return impl_->drain(longest);
+}
+
+void daemon::stop()
+{
+    impl_->stop();
+}
+
+} // namespace tanagerlead
