--- /dev/null
+++ b/src/sched/adaptive_limit.cpp
@@ -0,0 +1,79 @@
+#include "src/sched/adaptive_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tanagerlead::sched
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Largest limit as a multiple of the slots.
+constexpr double most_growth = 4;
+/// What is left of the limit after congestion.
+constexpr double cut = 0.85;
+/// A first token is late after this multiple of the expected time plus slack.
+constexpr double late_factor = 2.5;
+constexpr base::duration late_slack = 100ms;
+/// Throughput below this part of the best seen means thrashing.
+constexpr double thrash_part = 0.6;
+/// Forgets the best throughput slowly, so a change of the load is learned.
+constexpr double best_decay = 0.995;
+
+} // namespace
+
+int adaptive_limit::limit() const
+{
+    return std::max(1, static_cast<int>(std::floor(limit_)));
+}
+
+void adaptive_limit::set_slots(int slots)
+{
+    if (slots != slots_)
+    {
+        slots_ = slots;
+        limit_ = slots;
+    }
+}
+
+bool adaptive_limit::congested(service_sample const& sample)
+{
+    auto const late = sample.first_token_ >
+                      sample.expected_first_token_ * late_factor + late_slack;
+    auto const step = base::seconds(sample.step_);
+    if (step <= 0)
+    {
+        return late;
+    }
+    auto const throughput = sample.outstanding_ / step;
+    best_throughput_ = std::max(best_throughput_ * best_decay, throughput);
+    auto const thrashes = sample.outstanding_ >= limit() &&
+                          throughput < thrash_part * best_throughput_;
+    return late || thrashes;
+}
+
+// Answers that were in flight at a cut still show the old congestion; they
+// must not cut again.
+void adaptive_limit::on_finished(service_sample const& sample,
+                                 base::time_point now)
+{
+    auto const before_cut = now - sample.elapsed_ < last_cut_;
+    if (congested(sample))
+    {
+        if (!before_cut)
+        {
+            limit_ = std::max(1.0, limit_ * cut);
+            last_cut_ = now;
+        }
+        return;
+    }
+    if (!before_cut && sample.outstanding_ >= limit())
+    {
+        limit_ = std::min(limit_ + 1 / limit_, most_growth * slots_);
+    }
+}
+
+} // namespace tanagerlead::sched
--- /dev/null
+++ b/src/sched/adaptive_limit.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "src/sched/concurrency_limit.hpp"
+
+namespace tanagerlead::sched
+{
+
+/// Learns how many requests keep a target busy without a queue inside it,
+/// where no tier counts: grows by one after a round of answers in time while
+/// all of it was used, shrinks by a part when first tokens come late or decode
+/// steps grow faster than the concurrency.
+class adaptive_limit final : public concurrency_limit
+{
+public:
+    int limit() const override;
+    /// The first limit, and through a multiple the largest.
+    void set_slots(int slots) override;
+    void on_finished(service_sample const& sample,
+                     base::time_point now) override;
+
+private:
+    bool congested(service_sample const& sample);
+
+    int slots_ = 0;
+    double limit_ = 1;
+    /// Decayed best count of tokens a second.
+    double best_throughput_ = 0;
+    base::time_point last_cut_{};
+};
+
+} // namespace tanagerlead::sched
--- /dev/null
+++ b/src/sched/admission.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "src/sched/cell_scheduler.hpp"
+#include "src/sched/shed_gate.hpp"
+#include "src/sched/waiting_queue.hpp"
+
+#include <array>
+#include <optional>
+
+namespace tanagerlead::sched
+{
+
+/// Looks ahead: who waits too long or ends too late is refused at once, the
+/// lowest tier and the workspaces most over their shares first.
+class admission
+{
+public:
+    admission();
+
+    void configure(cell_settings const& settings);
+    void permit_shed_from(base::tier highest) { highest_shed_ = highest; }
+
+    base::duration longest_wait(base::tier t) const;
+    /// Seconds a new request would wait at a service rate in cost a second;
+    /// zero when the rate is not known.
+    static double predicted_wait(waiting_queue const& queue,
+                                 base::workspace_id const& workspace,
+                                 base::tier t, double service_rate);
+
+    /// Why the request should be refused now, if it should.
+    std::optional<refusal_cause> check(waiting_request const& request,
+                                       waiting_queue const& queue,
+                                       double service_rate,
+                                       base::time_point now) const;
+    /// Waiting requests to refuse as overloaded now.
+    std::vector<waiting_request*> excess(waiting_queue const& queue,
+                                         double service_rate,
+                                         base::time_point now) const;
+    /// The highest tier that waits longer than it may.
+    std::optional<base::tier> pressure(waiting_queue const& queue,
+                                       double service_rate) const;
+    /// Whether a tier may be refused as overloaded.
+    bool may_shed(base::tier t, base::time_point now) const;
+
+    shed_gate& gate() { return gate_; }
+    shed_gate const& gate() const { return gate_; }
+
+private:
+    double seconds_over(waiting_queue const& queue, base::tier t,
+                        double service_rate) const;
+
+    std::array<base::duration, base::max_tiers> longest_wait_{};
+    base::tier lowest_configured_{base::max_tiers - 1};
+    base::tier highest_shed_{0};
+    shed_gate gate_;
+};
+
+} // namespace tanagerlead::sched
--- a/src/sched/cell_scheduler.hpp
+++ b/src/sched/cell_scheduler.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "src/config/configuration.hpp"
+#include "src/sched/quarantine.hpp"
 #include "src/sched/types.hpp"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -24,6 +26,12 @@
 
 /// Decides which waiting request runs next on which target of one cell.
 /// Not thread-safe; every event carries the time.
+///
+/// Policy "tanagerlead": a tier is granted only while no higher one waits in
+/// the queue, and at least `shed_gate::window` passes between a refusal of a
+/// tier as overloaded and a grant of any lower tier, whichever comes first.
+/// Requests that wait for one certain target (a cached prefix, or a suspect
+/// that has to run apart) do not hold up others.
 class cell_scheduler
 {
 public:
@@ -48,6 +56,19 @@
     /// Tiers after `lowest` wait for now.
     virtual void permit_down_to(base::tier lowest, base::time_point now) = 0;
 
+    /// Tiers from `highest` on may be refused as overloaded; higher ones wait
+    /// until other owners have stopped serving those below. The lowest tier
+    /// configured may always be refused.
+    virtual void permit_shed_from(base::tier highest, base::time_point now);
+    /// The highest tier that this scheduler has to shed or soon will.
+    virtual std::optional<base::tier> pressure() const;
+
+    /// Suspicions against requests that end targets, for other schedulers.
+    virtual std::vector<suspicion>
+    export_suspicions(base::time_point now) const;
+    virtual void import_suspicions(std::vector<suspicion> const& suspicions,
+                                   base::time_point now);
+
     /// Appends all decisions due at `now` to `out`.
     virtual void advance(base::time_point now, std::vector<action>& out) = 0;
     /// When `advance` has something to do if no event comes first.
--- a/src/sched/cell_targets.cpp
+++ b/src/sched/cell_targets.cpp
@@ -1,5 +1,7 @@
 #include "src/sched/cell_targets.hpp"
 
+#include "src/sched/cost.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -13,6 +15,32 @@
 
 /// Stands for no limit and can be multiplied and summed.
 constexpr int unlimited = std::numeric_limits<int>::max() / 64;
+/// Added to both sides of a ratio of times, so that noise of short answers
+/// does not look like slowness.
+constexpr double ratio_slack_seconds = 0.05;
+
+observation observed(running_request const& run, dispatch_report const& event)
+{
+    observation o;
+    o.uncached_ = std::max<base::token_count>(
+        run.item_.prompt_tokens_ - event.cached_tokens_, 0);
+    o.output_ = event.output_tokens_;
+    o.first_token_ = run.first_token_;
+    o.elapsed_ = event.elapsed_;
+    o.concurrency_ = 0.5 * (run.outstanding_ + run.target_->outstanding_);
+    o.cost_ = cost_of(o.uncached_, o.output_);
+    return o;
+}
+
+service_sample sample_of(observation const& o, target_model const& speed)
+{
+    auto const steps = o.output_ - 1;
+    auto const decodes = steps > 0 && o.first_token_ > base::duration::zero();
+    return {o.elapsed_, steps > 0 ? o.first_token_ : o.elapsed_,
+            base::from_seconds(speed.first_token(o.uncached_)),
+            decodes ? (o.elapsed_ - o.first_token_) / steps : base::duration{},
+            static_cast<int>(std::lround(o.concurrency_))};
+}
 
 } // namespace
 
@@ -55,6 +83,7 @@
         t.config_ = config;
         t.configured_ = true;
         t.limit_->set_slots(std::max(config.slots_, 1));
+        t.generation_ = &generations_[config.generation_];
     }
     forget_unused();
 }
@@ -72,38 +101,62 @@
                        { return t->in_service() && t->serves(pool); });
 }
 
+int cell_targets::limit_of(target_state const& target) const
+{
+    if (!target.in_service())
+    {
+        return 0;
+    }
+    return target.slowness_.straggles()
+               ? 1
+               : std::min(target.limit_->limit(), unlimited);
+}
+
 // A small share of a small limit is less than one request; rounding up target
 // by target would make it many, so the sum is limited too.
 void cell_targets::refresh(base::time_point now)
 {
     double sum = 0;
+    service_rate_ = 0;
     for (auto const& t : targets_)
     {
-        auto const limit =
-            t->in_service() ? std::min(t->limit_->limit(), unlimited) : 0;
-        auto const part = limit * share_;
-        sum += part;
+        auto const part = limit_of(*t) * share_;
         t->allowed_ =
             t->health_.most_outstanding(static_cast<int>(std::ceil(part)), now);
+        sum += part;
+        auto const seconds = t->speed().seconds_per_cost();
+        if (seconds > 0 && t->allowed_ > 0)
+        {
+            service_rate_ += part / seconds;
+        }
     }
     allowed_ = std::max(1, static_cast<int>(std::lround(sum)));
 }
 
-std::span<target_state* const> cell_targets::usable(base::pool_id const& pool)
+candidates cell_targets::choices(base::pool_id const& pool)
 {
     usable_.clear();
+    full_.clear();
     if (outstanding_ >= allowed_)
     {
         return {};
     }
     for (auto const& t : targets_)
     {
-        if (t->has_room() && t->serves(pool))
+        if (!t->serves(pool))
+        {
+            continue;
+        }
+        if (t->has_room())
         {
             usable_.push_back(t.get());
         }
+        else if (t->dependable())
+        {
+            full_.push_back(t.get());
+        }
     }
-    return usable_;
+    return {usable_, full_};
 }
 
 base::time_point cell_targets::next_change(base::time_point now) const
@@ -119,21 +172,83 @@
     return next;
 }
 
-void cell_targets::on_granted(target_state& target)
+double cell_targets::fastest_service(workload const& work) const
+{
+    auto least = std::numeric_limits<double>::max();
+    for (auto const& t : targets_)
+    {
+        if (!t->in_service())
+        {
+            continue;
+        }
+        if (!t->speed().ready())
+        {
+            return 0;
+        }
+        least = std::min(least, t->speed().service(work));
+    }
+    return targets_.empty() ? 0 : least;
+}
+
+void cell_targets::on_granted(target_state& target, base::time_point now)
 {
     ++target.outstanding_;
     ++outstanding_;
+    target.last_grant_ = now;
+    target.load_.set_own(target.outstanding_, now);
 }
 
-void cell_targets::on_ended(target_state& target)
+void cell_targets::on_ended(target_state& target, base::time_point now)
 {
     assert(target.outstanding_ > 0 && outstanding_ > 0);
     --target.outstanding_;
     --outstanding_;
+    target.load_.set_own(target.outstanding_, now);
     if (!target.configured_)
     {
         forget_unused();
     }
 }
 
+void cell_targets::learn(running_request const& run,
+                         dispatch_report const& event)
+{
+    auto& target = *run.target_;
+    auto const o = observed(run, event);
+    target.limit_->on_finished(sample_of(o, target.speed()),
+                               run.dispatched_ + event.elapsed_);
+    auto& generation = generations_[target.config_.generation_];
+    if (generation.ready())
+    {
+        auto const expected =
+            generation.service({o.uncached_, o.output_, o.concurrency_});
+        target.slowness_.add((base::seconds(o.elapsed_) + ratio_slack_seconds) /
+                             (expected + ratio_slack_seconds));
+        judge(target);
+    }
+    target.model_.add(o);
+    if (!target.slowness_.straggles())
+    {
+        generation.add(o);
+    }
+}
+
+void cell_targets::judge(target_state& target)
+{
+    std::vector<slowness const*> peers;
+    for (auto const& t : targets_)
+    {
+        if (t.get() != &target && t->in_service() &&
+            t->config_.generation_ == target.config_.generation_)
+        {
+            peers.push_back(&t->slowness_);
+        }
+    }
+    if (straggler_detector::judge(target.slowness_, peers))
+    {
+        // What it showed until now says nothing of its new speed.
+        target.model_ = {};
+    }
+}
+
 } // namespace tanagerlead::sched
--- a/src/sched/cell_targets.hpp
+++ b/src/sched/cell_targets.hpp
@@ -2,13 +2,16 @@
 
 #include "src/sched/cell_scheduler.hpp"
 #include "src/sched/policy.hpp"
+#include "src/sched/running_request.hpp"
 
+#include <map>
 #include <span>
 
 namespace tanagerlead::sched
 {
 
-/// The targets of one cell and how much each may have outstanding.
+/// The targets of one cell, how fast they are and how much each may have
+/// outstanding.
 class cell_targets
 {
 public:
@@ -20,34 +23,41 @@
     target_state* find(base::target_id const& id);
     /// Also makes room for one that the configuration does not name.
     target_state& find_or_add(base::target_id const& id);
-    std::vector<std::unique_ptr<target_state>> const& all() const
-    {
-        return targets_;
-    }
 
     /// Whether some target in service serves the pool.
     bool serves(base::pool_id const& pool) const;
     /// Works out what each target may have outstanding at `now`.
     void refresh(base::time_point now);
-    /// Targets of the pool with room, after `refresh`; valid until the next
-    /// call.
-    std::span<target_state* const> usable(base::pool_id const& pool);
+    /// Targets of the pool after `refresh`; valid until the next call.
+    candidates choices(base::pool_id const& pool);
     /// When `refresh` gives another result if no event comes first.
     base::time_point next_change(base::time_point now) const;
 
-    void on_granted(target_state& target);
-    void on_ended(target_state& target);
+    void on_granted(target_state& target, base::time_point now);
+    void on_ended(target_state& target, base::time_point now);
+    /// Learns from an answer that ended well.
+    void learn(running_request const& run, dispatch_report const& event);
+
+    /// Cost the cell serves a second when it is full; zero when not known yet.
+    double service_rate() const { return service_rate_; }
+    /// Seconds the fastest target takes for the work; zero when not known yet.
+    double fastest_service(workload const& work) const;
 
 private:
+    int limit_of(target_state const& target) const;
+    void judge(target_state& target);
     void forget_unused();
 
     policy const& parts_;
     double share_ = 1.0;
     std::vector<std::unique_ptr<target_state>> targets_;
+    std::map<int, target_model> generations_;
     std::vector<target_state*> usable_;
+    std::vector<target_state*> full_;
     int outstanding_ = 0;
     /// Most that all targets together may have outstanding.
     int allowed_ = 0;
+    double service_rate_ = 0;
 };
 
 } // namespace tanagerlead::sched
--- a/src/sched/concurrency_limit.hpp
+++ b/src/sched/concurrency_limit.hpp
@@ -7,15 +7,18 @@
 namespace tanagerlead::sched
 {
 
-/// One answer that ended well.
+/// One answer that ended well, for the limit of its target.
 struct service_sample
 {
     /// From the dispatch to the end.
     base::duration elapsed_{};
-    /// Output-token equivalents.
-    double cost_ = 1;
-    /// Requests outstanding at the target when this one was dispatched, itself
-    /// included.
+    /// From the dispatch to the first token.
+    base::duration first_token_{};
+    /// What that time would be without a queue at the target.
+    base::duration expected_first_token_{};
+    /// Between tokens; zero when there were too few.
+    base::duration step_{};
+    /// Requests outstanding at the target meanwhile, this one included.
     int outstanding_ = 1;
 };
 
--- a/src/sched/fair_queue.cpp
+++ b/src/sched/fair_queue.cpp
@@ -169,6 +169,18 @@
     }
 }
 
+void fair_tier::charge(base::workspace_id const& workspace, double cost)
+{
+    auto const found = flows_.find(workspace);
+    if (found != flows_.end())
+    {
+        // A refund buys no more than a turn.
+        auto& f = *found->second;
+        f.deficit_ = std::min(f.deficit_ - cost,
+                              std::max(f.deficit_, quantum_ * f.weight_));
+    }
+}
+
 double fair_tier::ahead_of(base::workspace_id const& workspace,
                            double weight) const
 {
@@ -269,6 +281,12 @@
     tier_of(request).erase(request);
 }
 
+void fair_queue::charge(base::workspace_id const& workspace, base::tier t,
+                        double cost)
+{
+    tiers_.at(base::index(t)).charge(workspace, cost);
+}
+
 std::size_t fair_queue::size(base::tier t) const
 {
     return tiers_.at(base::index(t)).size();
--- a/src/sched/fair_queue.hpp
+++ b/src/sched/fair_queue.hpp
@@ -17,6 +17,7 @@
     waiting_request* front();
     void take(waiting_request& request);
     void erase(waiting_request& request);
+    void charge(base::workspace_id const& workspace, double cost);
 
     std::size_t size() const { return size_; }
     double backlog() const { return backlog_; }
@@ -54,6 +55,8 @@
     waiting_request* front(base::tier lowest) override;
     void take(waiting_request& request) override;
     void erase(waiting_request& request) override;
+    void charge(base::workspace_id const& workspace, base::tier t,
+                double cost) override;
     std::size_t size(base::tier t) const override;
     double backlog(base::tier t) const override;
     double ahead_of(base::workspace_id const& workspace,
--- a/src/sched/fifo_queue.hpp
+++ b/src/sched/fifo_queue.hpp
@@ -16,6 +16,7 @@
     waiting_request* front(base::tier lowest) override;
     void take(waiting_request& request) override;
     void erase(waiting_request& request) override;
+    void charge(base::workspace_id const&, base::tier, double) override {}
     std::size_t size(base::tier t) const override;
     double backlog(base::tier t) const override;
     double ahead_of(base::workspace_id const&, base::tier) const override;
--- /dev/null
+++ b/src/sched/length_estimator.cpp
@@ -0,0 +1,72 @@
+#include "src/sched/length_estimator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tanagerlead::sched
+{
+
+namespace
+{
+
+/// Answers that a mean goes back over.
+constexpr double memory = 32;
+/// Answers that weigh as much as the prior.
+constexpr double prior_weight = 3;
+/// Part of the most output tokens expected without any history.
+constexpr double part_of_most = 0.25;
+
+std::size_t tier_of(work_item const& item)
+{
+    return std::min(base::index(item.tier_), base::max_tiers - 1);
+}
+
+} // namespace
+
+void length_estimator::running_mean::add(double x)
+{
+    samples_ = std::min(samples_ + 1, memory);
+    value_ += (x - value_) / samples_;
+}
+
+double length_estimator::running_mean::blend(double prior) const
+{
+    auto const weight = samples_ + prior_weight;
+    return (value_ * samples_ + prior * prior_weight) / weight;
+}
+
+void length_estimator::add(work_item const& item, base::token_count output)
+{
+    auto const tokens = static_cast<double>(output);
+    tiers_.at(tier_of(item)).add(tokens);
+    key const k{item.workspace_, item.pool_};
+    auto const found = histories_.find(k);
+    if (found != histories_.end())
+    {
+        found->second.mean_.add(tokens);
+        recent_.splice(recent_.begin(), recent_, found->second.recency_);
+        return;
+    }
+    if (histories_.size() >= capacity_)
+    {
+        histories_.erase(recent_.back());
+        recent_.pop_back();
+    }
+    recent_.push_front(k);
+    histories_[k] = {running_mean{tokens, 1}, recent_.begin()};
+}
+
+base::token_count length_estimator::expect(work_item const& item) const
+{
+    auto const most = static_cast<double>(item.most_output_tokens_);
+    auto tokens = tiers_.at(tier_of(item)).blend(part_of_most * most);
+    auto const found = histories_.find(key{item.workspace_, item.pool_});
+    if (found != histories_.end())
+    {
+        tokens = found->second.mean_.blend(tokens);
+    }
+    auto const bound = most > 0 ? std::min(tokens, most) : tokens;
+    return std::llround(std::max(bound, 0.0));
+}
+
+} // namespace tanagerlead::sched
--- /dev/null
+++ b/src/sched/length_estimator.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "src/sched/types.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <list>
+
+namespace tanagerlead::sched
+{
+
+/// Expects the length of an answer from the workspace's earlier answers of the
+/// same pool; where there are few, from the tier's, then from the most the
+/// request allows. Bounded: the workspaces longest unseen are forgotten.
+class length_estimator
+{
+public:
+    static constexpr std::size_t most_entries = 32768;
+
+    explicit length_estimator(std::size_t capacity = most_entries)
+        : capacity_{capacity}
+    {
+    }
+
+    void add(work_item const& item, base::token_count output);
+    base::token_count expect(work_item const& item) const;
+    std::size_t size() const { return histories_.size(); }
+
+private:
+    struct running_mean
+    {
+        double value_ = 0;
+        double samples_ = 0;
+
+        void add(double x);
+        /// Mixed with `prior` as long as there are few samples.
+        double blend(double prior) const;
+    };
+    struct key
+    {
+        base::workspace_id workspace_;
+        base::pool_id pool_;
+
+        bool operator==(key const&) const = default;
+
+        template <class H>
+        friend H AbslHashValue(H state, key const& k)
+        {
+            return H::combine(std::move(state), k.workspace_, k.pool_);
+        }
+    };
+    struct history
+    {
+        running_mean mean_;
+        std::list<key>::iterator recency_;
+    };
+
+    std::size_t capacity_;
+    absl::flat_hash_map<key, history> histories_;
+    /// Most recent first.
+    std::list<key> recent_;
+    std::array<running_mean, base::max_tiers> tiers_{};
+};
+
+} // namespace tanagerlead::sched
--- /dev/null
+++ b/src/sched/load_view.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "src/sched/types.hpp"
+
+#include <deque>
+
+namespace tanagerlead::sched
+{
+
+/// Requests at a target: our own, known exactly, and those of others, from
+/// the target's late reports. A report counted ours of its own time too, so
+/// these are taken out again and nothing counts twice.
+class load_view
+{
+public:
+    /// Records how many of ours are outstanding from `now` on.
+    void set_own(int outstanding, base::time_point now);
+    void observe(target_load const& load, base::time_point now);
+
+    int own() const { return own_; }
+    /// Requests of others; none when the last report is too old.
+    int others(base::time_point now) const;
+
+private:
+    struct change
+    {
+        base::time_point at_;
+        int outstanding_ = 0;
+    };
+
+    int own_at(base::time_point t) const;
+
+    int own_ = 0;
+    /// Oldest first.
+    std::deque<change> changes_;
+    int others_ = 0;
+    base::time_point measured_{};
+};
+
+} // namespace tanagerlead::sched
--- a/src/sched/policy.cpp
+++ b/src/sched/policy.cpp
@@ -1,5 +1,6 @@
 #include "src/sched/policy.hpp"
 
+#include "src/sched/adaptive_limit.hpp"
 #include "src/sched/fair_queue.hpp"
 #include "src/sched/fifo_queue.hpp"
 
@@ -19,8 +20,8 @@
 
 constexpr std::array policies{
     policy{"tanagerlead", make<waiting_queue, fair_queue>,
-           make<target_choice, least_outstanding_choice>,
-           make<concurrency_limit, slots_limit>, true},
+           make<target_choice, earliest_finish_choice>,
+           make<concurrency_limit, adaptive_limit>, true},
     policy{"fifo_round_robin", make<waiting_queue, fifo_queue>,
            make<target_choice, round_robin_choice>,
            make<concurrency_limit, no_limit>, false},
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "src/sched/scheduler.hpp"
 
+#include "src/sched/cost.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <tuple>
@@ -12,23 +14,20 @@
 namespace
 {
 
-/// For a tier that the configuration does not name.
-constexpr base::duration default_longest_wait = 30s;
 constexpr base::duration least_retry = 200ms;
-/// Advised when no backlog tells how long to wait.
-constexpr base::duration default_retry = 1s;
+constexpr base::duration longest_retry = 60s;
+/// Seconds advised when no backlog tells how long to wait.
+constexpr double default_retry = 1.0;
 /// Advice varies by this part of itself to both sides.
 constexpr double retry_jitter = 0.25;
-/// Prompt tokens are processed in parallel and cost this part of an output
-/// token.
-constexpr double prompt_token_cost = 0.1;
-/// Part of the most output tokens expected without any history.
-constexpr double expected_part_of_most = 0.25;
+/// How soon a refusal that is not permitted yet is looked at again.
+constexpr base::duration shed_recheck = 100ms;
+constexpr std::size_t most_exported = 256;
 
-double cost_of(base::token_count prompt, base::token_count output)
+/// Orders by number, so that decisions do not depend on hash seeds.
+bool earlier(base::request_id const& a, base::request_id const& b)
 {
-    return 1.0 + prompt_token_cost * static_cast<double>(prompt) +
-           static_cast<double>(output);
+    return std::tie(a.origin_, a.sequence_) < std::tie(b.origin_, b.sequence_);
 }
 
 } // namespace
@@ -37,25 +36,29 @@
     : parts_{parts}, queue_{parts.make_queue_()}, choice_{parts.make_choice_()},
       targets_{parts}, random_{0}
 {
-    longest_wait_.fill(default_longest_wait);
 }
 
 void scheduler::configure(cell_settings const& settings)
 {
     random_ = base::random_source{settings.seed_};
+    aside_.release_all();
     targets_.configure(settings);
-    longest_wait_.fill(default_longest_wait);
-    for (auto const& t : settings.tiers_)
-    {
-        longest_wait_.at(base::index(t.tier_)) = t.longest_wait_;
-    }
+    admission_.configure(settings);
+    configure_workspaces(settings.workspaces_);
+    targets_changed_ = true;
+    touched_ = true;
+}
+
+void scheduler::configure_workspaces(
+    std::vector<config::workspace_config> const& workspaces)
+{
     for (auto& [id, state] : workspaces_)
     {
         state.configured_ = false;
         state.most_waiting_ = 0;
     }
     workspace_weights weights;
-    for (auto const& w : settings.workspaces_)
+    for (auto const& w : workspaces)
     {
         auto& state = workspaces_[w.id_];
         state.configured_ = true;
@@ -66,8 +69,6 @@
         workspaces_, [](auto const& entry)
         { return !entry.second.configured_ && entry.second.waiting_ == 0; });
     queue_->set_weights(std::move(weights));
-    targets_changed_ = true;
-    touched_ = true;
 }
 
 void scheduler::touch(base::time_point now)
@@ -85,12 +86,20 @@
 void scheduler::set_expiry(waiting_request& request) const
 {
     auto const& item = request.item_;
-    request.expires_ =
-        item.received_ + longest_wait_.at(base::index(item.tier_));
+    request.expires_ = item.received_ + admission_.longest_wait(item.tier_);
     request.expiry_cause_ = refusal_cause::overloaded;
-    if (item.deadline_ < request.expires_)
+    if (item.deadline_ == base::time_point::max())
     {
-        request.expires_ = item.deadline_;
+        return;
+    }
+    auto const service =
+        parts_.protects_
+            ? targets_.fastest_service({0, request.expected_output_, 1})
+            : 0.0;
+    auto const latest_start = item.deadline_ - base::from_seconds(service);
+    if (latest_start < request.expires_)
+    {
+        request.expires_ = latest_start;
         request.expiry_cause_ = refusal_cause::deadline;
     }
 }
@@ -102,8 +111,7 @@
     request->item_ = item;
     request->item_.tier_ =
         std::min(item.tier_, base::tier{base::max_tiers - 1});
-    request->expected_output_ = static_cast<base::token_count>(
-        expected_part_of_most * static_cast<double>(item.most_output_tokens_));
+    request->expected_output_ = lengths_.expect(item);
     request->cost_ = cost_of(item.prompt_tokens_, request->expected_output_);
     request->enqueued_ = now;
     set_expiry(*request);
@@ -117,6 +125,33 @@
            found->second.waiting_ >= found->second.most_waiting_;
 }
 
+std::optional<refusal_cause>
+scheduler::why_refuse(waiting_request const& request,
+                      base::time_point now) const
+{
+    auto const& item = request.item_;
+    if (!targets_.serves(item.pool_))
+    {
+        return refusal_cause::no_target;
+    }
+    if (parts_.protects_ && quarantine_.blocked(item.fingerprint_, now))
+    {
+        return refusal_cause::quarantined;
+    }
+    if (over_workspace_limit(item.workspace_))
+    {
+        return refusal_cause::workspace_limit;
+    }
+    if (request.expires_ <= now &&
+        request.expiry_cause_ == refusal_cause::deadline)
+    {
+        return refusal_cause::deadline;
+    }
+    return parts_.protects_ ? admission_.check(request, *queue_,
+                                               targets_.service_rate(), now)
+                            : std::nullopt;
+}
+
 void scheduler::enqueue(work_item const& item, base::time_point now)
 {
     if (known(item.request_))
@@ -125,17 +160,9 @@
     }
     touch(now);
     auto request = prepare(item, now);
-    if (!targets_.serves(item.pool_))
-    {
-        refuse(item, refusal_cause::no_target);
-    }
-    else if (over_workspace_limit(item.workspace_))
+    if (auto const cause = why_refuse(*request, now))
     {
-        refuse(item, refusal_cause::workspace_limit);
-    }
-    else if (request->expires_ <= now)
-    {
-        refuse(item, request->expiry_cause_);
+        refuse(request->item_, *cause);
     }
     else
     {
@@ -170,7 +197,16 @@
     assert(found != waiting_.end());
     auto removed = std::move(found->second);
     waiting_.erase(found);
-    queue_->erase(*removed);
+    if (removed->aside_)
+    {
+        aside_.remove(*removed);
+        queue_->charge(removed->item_.workspace_, removed->item_.tier_,
+                       -removed->cost_);
+    }
+    else
+    {
+        queue_->erase(*removed);
+    }
     forget(*removed);
     return removed;
 }
@@ -205,20 +241,46 @@
     {
         remove(item.request_);
     }
-    auto& state = targets_.find_or_add(target);
-    targets_.on_granted(state);
-    in_flight_.emplace(item.request_,
-                       running_request{item, &state, now,
-                                       cost_of(item.prompt_tokens_,
-                                               item.most_output_tokens_)});
+    running_request run;
+    run.item_ = item;
+    run.target_ = &targets_.find_or_add(target);
+    run.dispatched_ = now;
+    run.cost_ = cost_of(item.prompt_tokens_, lengths_.expect(item));
+    start(std::move(run));
+}
+
+void scheduler::start(running_request run)
+{
+    auto& target = *run.target_;
+    targets_.on_granted(target, now_);
+    run.outstanding_ = target.outstanding_;
+    target.prefilling_ += run.item_.prompt_tokens_ - run.cached_;
+    target.prefixes_.add(run.item_.prefix_);
+    if (run.suspect_)
+    {
+        ++target.suspects_;
+        running_suspects_.insert(run.item_.fingerprint_);
+    }
+    auto const id = run.item_.request_;
+    in_flight_.emplace(id, std::move(run));
 }
 
 void scheduler::end(base::request_id request)
 {
     auto const found = in_flight_.find(request);
-    auto* const target = found->second.target_;
+    auto const run = std::move(found->second);
     in_flight_.erase(found);
-    targets_.on_ended(*target);
+    auto& target = *run.target_;
+    if (run.prefilling_)
+    {
+        target.prefilling_ -= run.item_.prompt_tokens_ - run.cached_;
+    }
+    if (run.suspect_)
+    {
+        --target.suspects_;
+        running_suspects_.erase(run.item_.fingerprint_);
+    }
+    targets_.on_ended(target, now_);
 }
 
 void scheduler::report(dispatch_report const& event, base::time_point now)
@@ -229,7 +291,7 @@
     {
         return;
     }
-    apply(event, found->second, now);
+    apply(event, found->second);
     auto const goes_on = event.event_ == dispatch_event::started ||
                          event.event_ == dispatch_event::first_token;
     if (!goes_on)
@@ -238,26 +300,28 @@
     }
 }
 
-void scheduler::apply(dispatch_report const& event, running_request const& run,
-                      base::time_point now)
+void scheduler::apply(dispatch_report const& event, running_request& run)
 {
     auto& target = *run.target_;
     switch (event.event_)
     {
     case dispatch_event::first_token:
-        target.health_.on_progress(now);
+        on_first_token(run, event.elapsed_);
         break;
     case dispatch_event::finished:
-        target.health_.on_progress(now);
-        target.limit_->on_finished(
-            {event.elapsed_, run.cost_, target.outstanding_}, now);
+        on_finished(run, event);
         break;
-    case dispatch_event::not_sent:
     case dispatch_event::target_lost:
-        target.health_.on_lost(run.dispatched_, now);
+        quarantine_.on_target_lost(run.item_.fingerprint_, target.config_.id_,
+                                   now_);
+        target.prefixes_.clear();
+        target.health_.on_lost(run.dispatched_, now_);
+        break;
+    case dispatch_event::not_sent:
+        target.health_.on_lost(run.dispatched_, now_);
         break;
     case dispatch_event::target_error:
-        target.health_.on_error(run.dispatched_, now);
+        target.health_.on_error(run.dispatched_, now_);
         break;
     case dispatch_event::started:
     case dispatch_event::cancelled:
@@ -266,9 +330,38 @@
     }
 }
 
-void scheduler::observe(target_load const&, base::time_point now)
+void scheduler::on_first_token(running_request& run, base::duration elapsed)
+{
+    auto& target = *run.target_;
+    target.health_.on_progress(now_);
+    run.first_token_ = std::max(elapsed, base::duration{1});
+    if (std::exchange(run.prefilling_, false))
+    {
+        target.prefilling_ -= run.item_.prompt_tokens_ - run.cached_;
+    }
+}
+
+void scheduler::on_finished(running_request& run, dispatch_report const& event)
+{
+    run.target_->health_.on_progress(now_);
+    run.target_->prefixes_.correct(run.item_.prefix_, run.cached_,
+                                   event.cached_tokens_);
+    quarantine_.on_finished(run.item_.fingerprint_, now_);
+    lengths_.add(run.item_, event.output_tokens_);
+    auto const uncached = std::max<base::token_count>(
+        run.item_.prompt_tokens_ - event.cached_tokens_, 0);
+    queue_->charge(run.item_.workspace_, run.item_.tier_,
+                   cost_of(uncached, event.output_tokens_) - run.cost_);
+    targets_.learn(run, event);
+}
+
+void scheduler::observe(target_load const& load, base::time_point now)
 {
     touch(now);
+    if (auto* const target = targets_.find(load.target_))
+    {
+        target->load_.observe(load, now);
+    }
 }
 
 void scheduler::set_leaving(base::target_id const& target, bool leaving,
@@ -288,16 +381,68 @@
     lowest_permitted_ = lowest;
 }
 
-base::duration scheduler::retry_after(work_item const&, refusal_cause)
+void scheduler::permit_shed_from(base::tier highest, base::time_point now)
+{
+    touch(now);
+    admission_.permit_shed_from(highest);
+}
+
+std::optional<base::tier> scheduler::pressure() const
+{
+    return parts_.protects_
+               ? admission_.pressure(*queue_, targets_.service_rate())
+               : std::nullopt;
+}
+
+std::vector<suspicion> scheduler::export_suspicions(base::time_point now) const
+{
+    return quarantine_.export_suspicions(now, most_exported);
+}
+
+void scheduler::import_suspicions(std::vector<suspicion> const& suspicions,
+                                  base::time_point now)
+{
+    touch(now);
+    quarantine_.import_suspicions(suspicions, now);
+}
+
+double scheduler::retry_seconds(work_item const& item,
+                                refusal_cause cause) const
+{
+    if (cause == refusal_cause::quarantined)
+    {
+        return base::seconds(quarantine_.remaining(item.fingerprint_, now_));
+    }
+    auto const wait = admission::predicted_wait(
+        *queue_, item.workspace_, item.tier_, targets_.service_rate());
+    if (wait <= 0)
+    {
+        return default_retry;
+    }
+    // Asking again makes sense when the queue has shrunk enough to be let in.
+    auto const longest = base::seconds(admission_.longest_wait(item.tier_));
+    return cause == refusal_cause::overloaded
+               ? std::max(wait - longest, default_retry)
+               : wait;
+}
+
+base::duration scheduler::retry_after(work_item const& item,
+                                      refusal_cause cause)
 {
     auto const factor = 1 + retry_jitter * (2 * random_.uniform() - 1);
-    auto const advice =
-        base::from_seconds(base::seconds(default_retry) * factor);
-    return std::max(advice, least_retry);
+    auto const advice = base::from_seconds(retry_seconds(item, cause) * factor);
+    auto const longest = cause == refusal_cause::quarantined
+                             ? 2 * quarantine::quarantine_time
+                             : longest_retry;
+    return std::clamp(advice, least_retry, longest);
 }
 
 void scheduler::refuse(work_item const& item, refusal_cause cause)
 {
+    if (parts_.protects_ && cause == refusal_cause::overloaded)
+    {
+        admission_.gate().on_shed(item.tier_, now_);
+    }
     refused_.insert(item.request_);
     refusals_.push_back(
         {item.request_, item.entry_, cause, retry_after(item, cause)});
@@ -309,12 +454,37 @@
     refuse(removed->item_, cause);
 }
 
-void scheduler::expire(base::time_point now)
+void scheduler::postpone(waiting_request& request)
 {
-    while (expiries_.due(now))
+    auto const id = request.item_.request_;
+    auto const opens = admission_.gate().opens(request.item_.tier_, now_);
+    expiries_.remove(request.expires_, id);
+    request.expires_ = std::max(opens, now_ + shed_recheck);
+    if (request.item_.deadline_ <= request.expires_)
     {
-        auto const request = expiries_.first();
-        refuse_waiting(request, waiting_.at(request)->expiry_cause_);
+        request.expires_ =
+            std::max(request.item_.deadline_, now_ + base::duration{1});
+        request.expiry_cause_ = refusal_cause::deadline;
+    }
+    expiries_.add(request.expires_, id);
+}
+
+void scheduler::expire()
+{
+    while (expiries_.due(now_))
+    {
+        auto const id = expiries_.first();
+        auto& request = *waiting_.at(id);
+        auto const sheds = parts_.protects_ &&
+                           request.expiry_cause_ == refusal_cause::overloaded;
+        if (sheds && !admission_.may_shed(request.item_.tier_, now_))
+        {
+            postpone(request);
+        }
+        else
+        {
+            refuse_waiting(id, request.expiry_cause_);
+        }
     }
 }
 
@@ -332,51 +502,173 @@
             unserved.push_back(id);
         }
     }
-    std::sort(unserved.begin(), unserved.end(),
-              [](auto const& a, auto const& b)
-              {
-                  return std::tie(a.origin_, a.sequence_) <
-                         std::tie(b.origin_, b.sequence_);
-              });
+    std::sort(unserved.begin(), unserved.end(), earlier);
     for (auto const& id : unserved)
     {
         refuse_waiting(id, refusal_cause::no_target);
     }
 }
 
-void scheduler::run(waiting_request& request, target_state& target,
-                    base::time_point now, std::vector<action>& out)
+void scheduler::shed()
+{
+    if (!parts_.protects_)
+    {
+        return;
+    }
+    auto const victims =
+        admission_.excess(*queue_, targets_.service_rate(), now_);
+    for (auto const* victim : victims)
+    {
+        refuse_waiting(victim->item_.request_, refusal_cause::overloaded);
+    }
+}
+
+bool scheduler::is_suspect(waiting_request const& request) const
+{
+    return parts_.protects_ &&
+           quarantine_.suspect(request.item_.fingerprint_, now_);
+}
+
+// One copy of a suspect at a time, and no two suspects on one target: then a
+// death points at one of them, and the others clear themselves by finishing.
+candidates scheduler::choices_for(waiting_request const& request)
+{
+    auto from = targets_.choices(request.item_.pool_);
+    if (!is_suspect(request))
+    {
+        return from;
+    }
+    if (running_suspects_.contains(request.item_.fingerprint_))
+    {
+        return {};
+    }
+    apart_.clear();
+    std::copy_if(from.usable_.begin(), from.usable_.end(),
+                 std::back_inserter(apart_),
+                 [](auto const* t) { return t->suspects_ == 0; });
+    return {apart_, {}};
+}
+
+void scheduler::set_aside(waiting_request& request, placement const& where)
 {
     queue_->take(request);
+    request.aside_ = true;
+    auto const until =
+        where.target_ == nullptr ? base::time_point::max() : now_ + where.wait_;
+    aside_.add({&request, where.target_, until});
+}
+
+void scheduler::run(waiting_request& request, target_state& target,
+                    std::vector<action>& out)
+{
+    if (request.aside_)
+    {
+        aside_.remove(request);
+    }
+    else
+    {
+        queue_->take(request);
+    }
     forget(request);
-    targets_.on_granted(target);
-    auto const id = request.item_.request_;
-    out.emplace_back(grant{id, request.item_.entry_, target.config_.id_});
-    in_flight_.emplace(id, running_request{std::move(request.item_), &target,
-                                           now, request.cost_});
+    if (parts_.protects_)
+    {
+        admission_.gate().on_grant(request.item_.tier_, now_);
+    }
+    running_request started;
+    started.target_ = &target;
+    started.dispatched_ = now_;
+    started.cost_ = request.cost_;
+    started.cached_ = std::min(target.prefixes_.cached(request.item_.prefix_),
+                               request.item_.prompt_tokens_);
+    started.suspect_ = is_suspect(request);
+    started.item_ = std::move(request.item_);
+    auto const id = started.item_.request_;
+    out.emplace_back(grant{id, started.item_.entry_, target.config_.id_});
+    start(std::move(started));
     waiting_.erase(id);
 }
 
-void scheduler::dispatch(base::time_point now, std::vector<action>& out)
+bool scheduler::run_aside(base::tier lowest, std::vector<action>& out)
+{
+    auto const* const entry =
+        aside_.pick(lowest,
+                    [this](aside_entry const& e)
+                    {
+                        auto const from = choices_for(*e.request_).usable_;
+                        return e.wanted_ == nullptr
+                                   ? !from.empty()
+                                   : std::find(from.begin(), from.end(),
+                                               e.wanted_) != from.end();
+                    });
+    if (entry == nullptr)
+    {
+        return false;
+    }
+    auto& request = *entry->request_;
+    auto* target = entry->wanted_;
+    if (target == nullptr)
+    {
+        auto from = choices_for(request);
+        from.full_ = {};
+        target = choice_->choose(request, from, now_).target_;
+    }
+    run(request, *target, out);
+    return true;
+}
+
+// Makes one decision; false when none is due.
+bool scheduler::dispatch_one(base::tier lowest, std::vector<action>& out)
 {
-    while (auto* const request = queue_->front(lowest_permitted_))
+    auto* const next = queue_->front(lowest);
+    auto const tier = next == nullptr ? lowest : next->item_.tier_;
+    if (!aside_.empty() && run_aside(tier, out))
+    {
+        return true;
+    }
+    if (next == nullptr)
+    {
+        return false;
+    }
+    auto const from = targets_.choices(next->item_.pool_);
+    if (from.usable_.empty())
+    {
+        return false;
+    }
+    if (is_suspect(*next))
+    {
+        set_aside(*next, {});
+        return true;
+    }
+    auto const where = choice_->choose(*next, from, now_);
+    if (where.wait_ > base::duration::zero())
+    {
+        set_aside(*next, where);
+        return true;
+    }
+    run(*next, *where.target_, out);
+    return true;
+}
+
+void scheduler::dispatch(std::vector<action>& out)
+{
+    aside_.release(now_);
+    auto const grantable = parts_.protects_
+                               ? admission_.gate().lowest_grantable(now_)
+                               : lowest_permitted_;
+    auto const lowest = std::min(lowest_permitted_, grantable);
+    while (dispatch_one(lowest, out))
     {
-        auto const usable = targets_.usable(request->item_.pool_);
-        if (usable.empty())
-        {
-            return;
-        }
-        run(*request, choice_->choose(*request, usable, now), now, out);
     }
 }
 
 void scheduler::advance(base::time_point now, std::vector<action>& out)
 {
     now_ = std::max(now_, now);
-    expire(now_);
-    refuse_unserved();
     targets_.refresh(now_);
-    dispatch(now_, out);
+    expire();
+    refuse_unserved();
+    shed();
+    dispatch(out);
     out.insert(out.end(), refusals_.begin(), refusals_.end());
     refusals_.clear();
     refused_.clear();
@@ -389,9 +681,13 @@
     {
         return now_;
     }
-    auto const recovery =
-        waiting_.empty() ? base::time_point::max() : targets_.next_change(now_);
-    return std::min(expiries_.next(), recovery);
+    if (waiting_.empty())
+    {
+        return base::time_point::max();
+    }
+    return std::min({expiries_.next(), targets_.next_change(now_),
+                     aside_.next_change(),
+                     admission_.gate().next_change(now_)});
 }
 
 std::unique_ptr<cell_scheduler> make_scheduler(std::string_view policy)
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -1,22 +1,23 @@
 #pragma once
 
 #include "src/base/random.hpp"
+#include "src/sched/admission.hpp"
+#include "src/sched/aside_list.hpp"
 #include "src/sched/cell_targets.hpp"
 #include "src/sched/expiry_queue.hpp"
+#include "src/sched/length_estimator.hpp"
+#include "src/sched/quarantine.hpp"
+#include "src/sched/running_request.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
-#include <array>
 #include <memory>
 
 namespace tanagerlead::sched
 {
 
 /// The engine around the parts of one policy.
-///
-/// Tier order. The engine grants a tier only while nothing of a higher tier
-/// waits for the same targets.
 class scheduler final : public cell_scheduler
 {
 public:
@@ -32,19 +33,18 @@
     void set_leaving(base::target_id const& target, bool leaving,
                      base::time_point now) override;
     void permit_down_to(base::tier lowest, base::time_point now) override;
+    void permit_shed_from(base::tier highest, base::time_point now) override;
+    std::optional<base::tier> pressure() const override;
+    std::vector<suspicion>
+    export_suspicions(base::time_point now) const override;
+    void import_suspicions(std::vector<suspicion> const& suspicions,
+                           base::time_point now) override;
     void advance(base::time_point now, std::vector<action>& out) override;
     base::time_point next_wakeup() const override;
     std::size_t waiting() const override { return waiting_.size(); }
     std::size_t in_flight() const override { return in_flight_.size(); }
 
 private:
-    struct running_request
-    {
-        work_item item_;
-        target_state* target_ = nullptr;
-        base::time_point dispatched_;
-        double cost_ = 1;
-    };
     struct workspace_state
     {
         std::int64_t most_waiting_ = 0;
@@ -54,42 +54,65 @@
 
     void touch(base::time_point now);
     bool known(base::request_id request) const;
+    void configure_workspaces(
+        std::vector<config::workspace_config> const& workspaces);
+
     std::unique_ptr<waiting_request> prepare(work_item const& item,
                                              base::time_point now) const;
     void set_expiry(waiting_request& request) const;
     bool over_workspace_limit(base::workspace_id const& workspace) const;
-
+    std::optional<refusal_cause> why_refuse(waiting_request const& request,
+                                            base::time_point now) const;
     void admit(std::unique_ptr<waiting_request> request);
-    /// Ends the wait of a request; the caller refuses or grants it.
+    /// Ends the wait of a request without a decision.
     std::unique_ptr<waiting_request> remove(base::request_id request);
     void forget(waiting_request const& request);
+
     void refuse(work_item const& item, refusal_cause cause);
     void refuse_waiting(base::request_id request, refusal_cause cause);
     base::duration retry_after(work_item const& item, refusal_cause cause);
+    double retry_seconds(work_item const& item, refusal_cause cause) const;
 
-    void expire(base::time_point now);
+    void expire();
+    void postpone(waiting_request& request);
     void refuse_unserved();
-    void dispatch(base::time_point now, std::vector<action>& out);
+    void shed();
+
+    void dispatch(std::vector<action>& out);
+    bool dispatch_one(base::tier lowest, std::vector<action>& out);
+    bool run_aside(base::tier lowest, std::vector<action>& out);
+    /// Targets it may run on now; may be empty.
+    candidates choices_for(waiting_request const& request);
+    bool is_suspect(waiting_request const& request) const;
+    void set_aside(waiting_request& request, placement const& where);
     void run(waiting_request& request, target_state& target,
-             base::time_point now, std::vector<action>& out);
+             std::vector<action>& out);
+    void start(running_request run);
     void end(base::request_id request);
-    void apply(dispatch_report const& event, running_request const& run,
-               base::time_point now);
+    void apply(dispatch_report const& event, running_request& run);
+    void on_first_token(running_request& run, base::duration elapsed);
+    void on_finished(running_request& run, dispatch_report const& event);
 
     policy const& parts_;
     std::unique_ptr<waiting_queue> queue_;
     std::unique_ptr<target_choice> choice_;
     cell_targets targets_;
+    admission admission_;
+    length_estimator lengths_;
+    quarantine quarantine_;
+    aside_list aside_;
     expiry_queue expiries_;
     base::random_source random_;
 
-    std::array<base::duration, base::max_tiers> longest_wait_{};
     absl::flat_hash_map<base::workspace_id, workspace_state> workspaces_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_request>>
         waiting_;
     absl::flat_hash_map<base::request_id, running_request> in_flight_;
+    /// Suspects in flight by fingerprint.
+    absl::flat_hash_set<std::uint64_t> running_suspects_;
     std::vector<refusal> refusals_;
     absl::flat_hash_set<base::request_id> refused_;
+    std::vector<target_state*> apart_;
 
     base::tier lowest_permitted_{base::max_tiers - 1};
     bool targets_changed_ = false;
--- a/src/sched/target_choice.hpp
+++ b/src/sched/target_choice.hpp
@@ -8,25 +8,38 @@
 namespace tanagerlead::sched
 {
 
+/// What a choice is made from.
+struct candidates
+{
+    /// With room now; not empty.
+    std::span<target_state* const> usable_;
+    /// Without room but dependable, so worth a short wait.
+    std::span<target_state* const> full_;
+};
+
+struct placement
+{
+    target_state* target_ = nullptr;
+    /// Zero to run now, else the longest time to wait for the target.
+    base::duration wait_{};
+};
+
 /// Picks the target for the next request.
 class target_choice
 {
 public:
     virtual ~target_choice() = default;
 
-    /// One of `usable`, which is not empty.
-    virtual target_state& choose(waiting_request const& request,
-                                 std::span<target_state* const> usable,
-                                 base::time_point now) = 0;
+    virtual placement choose(waiting_request const& request,
+                             candidates const& from, base::time_point now) = 0;
 };
 
 /// Each in turn.
 class round_robin_choice final : public target_choice
 {
 public:
-    target_state& choose(waiting_request const& request,
-                         std::span<target_state* const> usable,
-                         base::time_point now) override;
+    placement choose(waiting_request const& request, candidates const& from,
+                     base::time_point now) override;
 
 private:
     std::size_t turn_ = 0;
@@ -36,9 +49,18 @@
 class least_outstanding_choice final : public target_choice
 {
 public:
-    target_state& choose(waiting_request const& request,
-                         std::span<target_state* const> usable,
-                         base::time_point now) override;
+    placement choose(waiting_request const& request, candidates const& from,
+                     base::time_point now) override;
+};
+
+/// The one where the answer should end first, going by speed, load and cached
+/// prefix. Waits for a full target when its cached prefix saves more than the
+/// wait costs.
+class earliest_finish_choice final : public target_choice
+{
+public:
+    placement choose(waiting_request const& request, candidates const& from,
+                     base::time_point now) override;
 };
 
 } // namespace tanagerlead::sched
--- /dev/null
+++ b/src/sched/target_model.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "src/base/units.hpp"
+
+namespace tanagerlead::sched
+{
+
+/// One answer that ended well, as seen from here.
+struct observation
+{
+    /// Prompt tokens that were not in the target's cache.
+    base::token_count uncached_ = 0;
+    base::token_count output_ = 0;
+    /// From the dispatch to the first token; zero when it was not seen.
+    base::duration first_token_{};
+    /// From the dispatch to the end.
+    base::duration elapsed_{};
+    /// Mean count of requests outstanding meanwhile.
+    double concurrency_ = 1;
+    /// Output-token equivalents.
+    double cost_ = 1;
+};
+
+/// What is to be predicted.
+struct workload
+{
+    base::token_count uncached_ = 0;
+    base::token_count output_ = 0;
+    /// Requests outstanding, this one included.
+    double concurrency_ = 1;
+};
+
+/// Speed of one target, or of a generation of targets, learned from answers:
+/// prefill rate, and time of a decode step as a line over concurrency.
+class target_model
+{
+public:
+    /// Answers before it can be relied on.
+    static constexpr int enough_samples = 3;
+
+    void add(observation const& o);
+
+    bool ready() const { return samples_ >= enough_samples; }
+    /// Seconds to the first token.
+    double first_token(base::token_count uncached) const;
+    /// Seconds between tokens.
+    double step(double concurrency) const;
+    /// Seconds to the end of the answer.
+    double service(workload const& work) const;
+    /// Seconds that one unit of cost occupies one of the concurrent requests.
+    double seconds_per_cost() const { return seconds_per_cost_; }
+    /// Mean seconds from the dispatch to the end.
+    double mean_service() const { return mean_service_; }
+
+private:
+    void learn_first_token(base::token_count uncached, double seconds);
+    void learn_step(double concurrency, double seconds);
+
+    int samples_ = 0;
+    /// Tokens a second.
+    double prefill_rate_ = 5000;
+    double overhead_ = 0;
+    double seconds_per_cost_ = 0;
+    double mean_service_ = 0;
+    /// Decayed sums of a linear regression of step time over concurrency.
+    double n_ = 0;
+    double sum_c_ = 0;
+    double sum_s_ = 0;
+    double sum_cc_ = 0;
+    double sum_cs_ = 0;
+    bool rate_known_ = false;
+};
+
+} // namespace tanagerlead::sched
--- /dev/null
+++ b/src/sched/tier_permission.cpp
@@ -0,0 +1,165 @@
+#include "src/sched/tier_permission.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace tanagerlead::sched
+{
+
+namespace
+{
+
+/// Notices older than a permission's life renew nothing, so few are kept.
+constexpr std::size_t most_sent = 64;
+constexpr base::tier lowest_tier{base::max_tiers - 1};
+
+} // namespace
+
+bool tier_permission::by_name::operator()(tier_peer const& a,
+                                          tier_peer const& b) const
+{
+    return std::tie(a.cell_.str(), a.origin_) <
+           std::tie(b.cell_.str(), b.origin_);
+}
+
+tier_permission::tier_permission(base::pool_id pool, tier_peer self)
+    : pool_{std::move(pool)}, self_{std::move(self)}
+{
+}
+
+void tier_permission::set_others(std::vector<tier_peer> const& owners,
+                                 base::time_point now)
+{
+    std::map<tier_peer, peer_state, by_name> named;
+    for (auto const& owner : owners)
+    {
+        if (owner == self_)
+        {
+            continue;
+        }
+        auto const found = peers_.find(owner);
+        if (found == peers_.end())
+        {
+            // The sooner they hear of this one, the sooner they permit it.
+            due_ = std::min(due_, now);
+        }
+        named[owner] = found == peers_.end() ? peer_state{} : found->second;
+    }
+    peers_ = std::move(named);
+}
+
+void tier_permission::set_pressure(std::optional<base::tier> pressure,
+                                   base::time_point now)
+{
+    if (pressure == pressure_)
+    {
+        return;
+    }
+    pressure_ = pressure;
+    due_ = std::min(due_, now);
+    for (std::size_t t = 0; t < announced_.size(); ++t)
+    {
+        if (!pressure || t < base::index(*pressure))
+        {
+            announced_[t].reset();
+        }
+    }
+}
+
+void tier_permission::note_echo(peer_state& p, tier_notice const& notice) const
+{
+    for (auto const& echo : notice.echoes_)
+    {
+        if (!(echo.owner_ == self_))
+        {
+            continue;
+        }
+        auto const sent = std::find_if(sent_.begin(), sent_.end(),
+                                       [&](sent_notice const& s) {
+                                           return s.sequence_ == echo.sequence_;
+                                       });
+        if (sent != sent_.end())
+        {
+            p.echoed_ = sent->at_;
+        }
+    }
+}
+
+void tier_permission::receive(tier_notice const& notice, base::time_point now)
+{
+    auto const found = peers_.find(notice.owner_);
+    if (notice.pool_ != pool_ || found == peers_.end() ||
+        notice.sequence_ <= found->second.sequence_)
+    {
+        return;
+    }
+    auto& p = found->second;
+    if (p.sequence_ == 0)
+    {
+        due_ = std::min(due_, now);
+    }
+    p.sequence_ = notice.sequence_;
+    p.pressure_ = notice.pressure_;
+    note_echo(p, notice);
+}
+
+std::optional<tier_notice> tier_permission::next_notice(base::time_point now)
+{
+    if (now < due_)
+    {
+        return std::nullopt;
+    }
+    due_ = now + notice_interval;
+    sent_.push_back({++sequence_, now});
+    if (sent_.size() > most_sent)
+    {
+        sent_.erase(sent_.begin());
+    }
+    tier_notice notice{pool_, self_, sequence_, pressure_, {}};
+    for (auto const& [owner, p] : peers_)
+    {
+        notice.echoes_.push_back({owner, p.sequence_});
+    }
+    for (std::size_t t = 0; pressure_ && t < announced_.size(); ++t)
+    {
+        if (t >= base::index(*pressure_) && !announced_[t])
+        {
+            announced_[t] = now;
+        }
+    }
+    return notice;
+}
+
+bool tier_permission::fresh(peer_state const& p, base::time_point now)
+{
+    return p.echoed_ && now - *p.echoed_ < permission_life;
+}
+
+base::tier tier_permission::lowest_served(base::time_point now) const
+{
+    auto lowest = pressure_.value_or(lowest_tier);
+    for (auto const& [owner, p] : peers_)
+    {
+        auto const permitted =
+            fresh(p, now) ? p.pressure_.value_or(lowest_tier) : base::tier{0};
+        lowest = std::min(lowest, permitted);
+    }
+    return lowest;
+}
+
+bool tier_permission::may_shed(base::tier t, base::time_point now) const
+{
+    if (peers_.empty())
+    {
+        return true;
+    }
+    // A peer that is silent stops serving lower tiers by itself, but one that
+    // hears nobody may be the one that the others hold for dead.
+    auto const heard = std::any_of(peers_.begin(), peers_.end(),
+                                   [&](auto const& entry)
+                                   { return fresh(entry.second, now); });
+    auto const& since = announced_.at(base::index(t));
+    return heard && since && now - *since > permission_life + margin;
+}
+
+} // namespace tanagerlead::sched
--- a/src/sched/waiting_queue.hpp
+++ b/src/sched/waiting_queue.hpp
@@ -29,6 +29,11 @@
     /// Removes any request without a charge.
     virtual void erase(waiting_request& request) = 0;
 
+    /// Adds to what the workspace was charged; negative when its request cost
+    /// less than expected.
+    virtual void charge(base::workspace_id const& workspace, base::tier t,
+                        double cost) = 0;
+
     virtual std::size_t size(base::tier t) const = 0;
     /// Sum of the costs waiting in the tier.
     virtual double backlog(base::tier t) const = 0;
--- a/src/sched/waiting_request.hpp
+++ b/src/sched/waiting_request.hpp
@@ -36,6 +36,9 @@
     base::time_point expires_ = base::time_point::max();
     refusal_cause expiry_cause_ = refusal_cause::overloaded;
 
+    /// Taken out of the queue and charged, waiting for a certain target.
+    bool aside_ = false;
+
     /// Where the queue keeps it.
     std::list<flow>::iterator flow_;
     std::list<waiting_request*>::iterator position_;
--- /dev/null
+++ b/tests/sched/parts_test.cpp
@@ -0,0 +1,267 @@
+#include "src/sched/adaptive_limit.hpp"
+#include "src/sched/length_estimator.hpp"
+#include "src/sched/load_view.hpp"
+#include "src/sched/prefix_index.hpp"
+#include "src/sched/quarantine.hpp"
+#include "src/sched/straggler_detector.hpp"
+#include "src/sched/target_model.hpp"
+#include "tests/sched/fixtures.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <numeric>
+
+using namespace tanagerlead;
+using namespace tanagerlead::sched;
+using namespace tanagerlead::sched::testing;
+
+TEST_GROUP(length_estimator){};
+
+TEST(length_estimator, learns_each_workspace_and_falls_back)
+{
+    length_estimator lengths;
+    LONGS_EQUAL(100, lengths.expect(item(1, "a", 0)));
+    for (int i = 0; i < 50; ++i)
+    {
+        lengths.add(item(1, "labels", 0), 10);
+        lengths.add(item(1, "threads", 0), 390);
+    }
+    CHECK(lengths.expect(item(1, "labels", 0)) < 40);
+    CHECK(lengths.expect(item(1, "threads", 0)) > 350);
+    auto const unknown = lengths.expect(item(1, "new", 0));
+    CHECK(unknown > 150 && unknown < 250);
+    auto bounded = item(1, "threads", 0);
+    bounded.most_output_tokens_ = 20;
+    LONGS_EQUAL(20, lengths.expect(bounded));
+}
+
+TEST(length_estimator, stays_bounded)
+{
+    length_estimator lengths{100};
+    for (int i = 0; i < 1000; ++i)
+    {
+        lengths.add(item(1, "w" + std::to_string(i), 0), 10);
+    }
+    LONGS_EQUAL(100, lengths.size());
+}
+
+TEST_GROUP(target_model){};
+
+TEST(target_model, learns_prefill_and_decode_over_concurrency)
+{
+    target_model model;
+    for (int i = 0; i < 200; ++i)
+    {
+        auto const concurrency = 1 + i % 8;
+        auto const step = 0.01 + 0.002 * concurrency;
+        auto const uncached = 500 + 100 * (i % 5);
+        auto const first = uncached / 8000.0;
+        model.add({uncached, 101, base::from_seconds(first),
+                   base::from_seconds(first + 100 * step),
+                   static_cast<double>(concurrency), 150});
+    }
+    DOUBLES_EQUAL(0.014, model.step(2), 0.001);
+    DOUBLES_EQUAL(0.026, model.step(8), 0.001);
+    DOUBLES_EQUAL(0.25, model.first_token(2000), 0.02);
+}
+
+TEST(target_model, a_plain_service_has_only_an_overhead)
+{
+    target_model model;
+    for (int i = 0; i < 20; ++i)
+    {
+        model.add({0, 0, {}, 40ms, 1, 1});
+    }
+    DOUBLES_EQUAL(0.04, model.service({0, 0, 3}), 0.002);
+}
+
+TEST_GROUP(load_view){};
+
+TEST(load_view, counts_own_requests_once)
+{
+    load_view load;
+    load.set_own(3, at(1s));
+    load.set_own(6, at(3s));
+    // Measured at 2 s, when three of the five were ours.
+    load.observe({base::target_id{"t"}, 4, 1, 2s}, at(4s));
+    LONGS_EQUAL(6, load.own());
+    LONGS_EQUAL(2, load.others(at(4s)));
+    // An older report that comes later changes nothing.
+    load.observe({base::target_id{"t"}, 9, 9, 3s}, at(4s));
+    LONGS_EQUAL(2, load.others(at(4s)));
+    LONGS_EQUAL(0, load.others(at(60s)));
+}
+
+TEST_GROUP(adaptive_limit){};
+
+TEST(adaptive_limit, grows_while_used_and_shrinks_when_first_tokens_are_late)
+{
+    adaptive_limit limit;
+    limit.set_slots(4);
+    LONGS_EQUAL(4, limit.limit());
+    auto now = at(0s);
+    for (int i = 0; i < 20; ++i)
+    {
+        now += 1s;
+        limit.on_finished({500ms, 100ms, 100ms, 10ms, limit.limit()}, now);
+    }
+    auto const grown = limit.limit();
+    CHECK(grown > 4 && grown <= 16);
+    limit.on_finished({500ms, 2s, 100ms, 10ms, grown}, now + 1s);
+    auto const cut = limit.limit();
+    CHECK(cut < grown);
+    // In flight before the cut: the same congestion, not another.
+    limit.on_finished({5s, 2s, 100ms, 10ms, grown}, now + 1100ms);
+    LONGS_EQUAL(cut, limit.limit());
+}
+
+TEST(adaptive_limit, does_not_grow_when_it_is_not_used)
+{
+    adaptive_limit limit;
+    limit.set_slots(4);
+    for (int i = 1; i < 100; ++i)
+    {
+        limit.on_finished({500ms, 100ms, 100ms, 10ms, 1}, at(1s * i));
+    }
+    LONGS_EQUAL(4, limit.limit());
+}
+
+TEST_GROUP(prefix_index){};
+
+TEST(prefix_index, finds_the_leading_part_and_forgets_the_oldest)
+{
+    prefix_index index{8};
+    prefix_hashes first(6);
+    std::iota(first.begin(), first.end(), 100);
+    index.add(first);
+    auto longer = first;
+    longer.push_back(900);
+    LONGS_EQUAL(6 * prefix_block_tokens, index.cached(longer));
+    prefix_hashes second(5);
+    std::iota(second.begin(), second.end(), 200);
+    index.add(second);
+    LONGS_EQUAL(8, index.size());
+    LONGS_EQUAL(5 * prefix_block_tokens, index.cached(second));
+    LONGS_EQUAL(3 * prefix_block_tokens, index.cached(first));
+}
+
+TEST(prefix_index, keeps_less_after_a_target_had_evicted)
+{
+    prefix_index index{1000};
+    prefix_hashes prefix(200);
+    std::iota(prefix.begin(), prefix.end(), 1);
+    index.add(prefix);
+    index.correct(prefix, 200 * prefix_block_tokens, 200 * prefix_block_tokens);
+    LONGS_EQUAL(1000, index.capacity());
+    index.correct(prefix, 200 * prefix_block_tokens, 0);
+    LONGS_EQUAL(200, index.capacity());
+}
+
+TEST_GROUP(straggler)
+{
+    slowness subject_;
+    std::array<slowness, 3> peers_;
+
+    bool judge()
+    {
+        std::vector<slowness const*> peers;
+        for (auto const& p : peers_)
+        {
+            peers.push_back(&p);
+        }
+        straggler_detector::judge(subject_, peers);
+        return subject_.straggles();
+    }
+    void slow(double peer_ratio, double ratio)
+    {
+        for (auto& p : peers_)
+        {
+            p.add(peer_ratio);
+        }
+        subject_.add(ratio);
+    }
+};
+
+TEST(straggler, is_found_within_a_few_answers_and_returns)
+{
+    slow(1, 3);
+    slow(1, 3);
+    CHECK_FALSE(judge());
+    slow(1, 3);
+    CHECK(judge());
+    for (int i = 0; i < 5; ++i)
+    {
+        slow(1, 1);
+    }
+    CHECK_FALSE(judge());
+}
+
+TEST(straggler, is_none_when_all_are_slow)
+{
+    for (int i = 0; i < 10; ++i)
+    {
+        slow(5, 5.5);
+        CHECK_FALSE(judge());
+    }
+}
+
+TEST_GROUP(quarantine)
+{
+    quarantine here_;
+    quarantine there_;
+
+    void kill(quarantine & q, char const* target, base::duration when)
+    {
+        q.on_target_lost(7, base::target_id{target}, at(when));
+    }
+};
+
+TEST(quarantine, starts_after_three_deaths_and_ends)
+{
+    kill(here_, "t1", 1s);
+    kill(here_, "t1", 1s + 1ms);
+    kill(here_, "t2", 5s);
+    CHECK(here_.suspect(7, at(6s)));
+    CHECK_FALSE(here_.blocked(7, at(6s)));
+    kill(here_, "t1", 10s);
+    CHECK(here_.blocked(7, at(11s)));
+    CHECK_FALSE(here_.blocked(8, at(11s)));
+    CHECK_FALSE(here_.blocked(7, at(10s) + quarantine::quarantine_time));
+}
+
+TEST(quarantine, an_answer_that_ends_well_clears)
+{
+    kill(here_, "t1", 1s);
+    kill(here_, "t2", 5s);
+    here_.on_finished(7, at(6s));
+    kill(here_, "t3", 10s);
+    CHECK_FALSE(here_.blocked(7, at(11s)));
+}
+
+TEST(quarantine, suspicions_of_several_daemons_add_up_once)
+{
+    kill(here_, "t1", 1s);
+    kill(here_, "t2", 5s);
+    kill(there_, "t2", 5s);
+    kill(there_, "t3", 9s);
+    for (int i = 0; i < 3; ++i)
+    {
+        here_.import_suspicions(there_.export_suspicions(at(10s), 10), at(10s));
+        there_.import_suspicions(here_.export_suspicions(at(10s), 10), at(10s));
+    }
+    CHECK(here_.blocked(7, at(10s)));
+    CHECK(there_.blocked(7, at(10s)));
+    there_.on_finished(7, at(11s));
+    here_.import_suspicions(there_.export_suspicions(at(12s), 10), at(12s));
+    CHECK_FALSE(here_.blocked(7, at(12s)));
+}
+
+TEST(quarantine, stays_bounded)
+{
+    for (std::uint64_t f = 1; f <= quarantine::most_suspicions + 100; ++f)
+    {
+        here_.on_target_lost(f, base::target_id{"t"}, at(1ms * f));
+    }
+    LONGS_EQUAL(quarantine::most_suspicions, here_.size());
+    CHECK_FALSE(here_.suspect(1, at(10s)));
+}
--- /dev/null
+++ b/tests/sched/virtual_cell.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "src/base/random.hpp"
+#include "tests/sched/fixtures.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace tanagerlead::sched::testing
+{
+
+/// How a target of the virtual cell behaves: a fixed time to the first token
+/// and between tokens, and no more than `slots_` at a time.
+struct virtual_target
+{
+    int slots_ = 4;
+    double prefill_rate_ = 10000;
+    double step_ = 0.01;
+    int running_ = 0;
+    std::deque<grant> queue_;
+};
+
+struct outcome_record
+{
+    work_item item_;
+    base::token_count output_ = 0;
+    base::time_point granted_ = base::time_point::max();
+    base::time_point ended_ = base::time_point::max();
+    std::string target_;
+    std::optional<refusal> refusal_;
+
+    bool served() const { return ended_ != base::time_point::max(); }
+};
+
+/// Runs a scheduler in virtual time against targets with fixed service times.
+/// Fails the test when a decision breaks a promise.
+class virtual_cell
+{
+public:
+    virtual_cell(std::string_view policy, cell_settings const& settings);
+
+    /// Adds an arrival; `output` is how long the answer will be.
+    void arrive(work_item item, base::token_count output);
+    void run_until(base::time_point end);
+
+    virtual_target& target(std::string const& id) { return targets_[id]; }
+    cell_scheduler& scheduler() { return *scheduler_; }
+    std::map<std::uint64_t, outcome_record> const& records() const
+    {
+        return records_;
+    }
+    std::size_t count(int tier, bool served) const;
+    /// A fingerprint that ends every target it starts on.
+    std::uint64_t poison_ = 0;
+
+private:
+    struct event
+    {
+        std::uint64_t request_ = 0;
+        std::optional<dispatch_report> report_;
+    };
+
+    void handle(event const& e);
+    void decide();
+    void on_grant(grant const& g);
+    void begin(grant const& g, virtual_target& t);
+    void crash(virtual_target& t);
+    void ended(dispatch_report const& r);
+    void check_window(base::tier shed, base::tier granted,
+                      base::duration apart) const;
+
+    std::unique_ptr<cell_scheduler> scheduler_;
+    bool keeps_tiers_;
+    std::map<std::string, virtual_target> targets_;
+    std::multimap<base::time_point, event> events_;
+    std::map<std::uint64_t, outcome_record> records_;
+    std::set<std::uint64_t> on_target_;
+    std::vector<std::pair<base::tier, base::time_point>> sheds_;
+    std::vector<std::pair<base::tier, base::time_point>> grants_;
+    base::time_point now_{};
+};
+
+} // namespace tanagerlead::sched::testing
