--- a/src/config/patch.cpp
+++ b/src/config/patch.cpp
@@ -12,7 +12,7 @@
 
 using nlohmann::json;
 
-constexpr char const* patch_pointer = "patch";
+constexpr char const* patch_pointer = "/patch";
 
 /// Applies one operation after the other, to name the one that fails.
 void apply_operations(json& document, json const& operations,
--- a/src/config/patch.hpp
+++ b/src/config/patch.hpp
@@ -26,7 +26,7 @@
 };
 
 /// The patched document, read and checked. A patch that cannot be applied
-/// has its errors under the pointer within the patch, prefixed with "patch".
+/// has its errors under "/patch" and the pointer within the patch.
 checked_configuration apply_patch(configuration const& to, patch const& with,
                                   base::config_version version);
 
