--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "src/config/settings_file.hpp"
 #include "src/daemon/http_service.hpp"
 #include "src/daemon/peer_copies.hpp"
+#include "src/http/config_api.hpp"
 #include "src/kernel/kernel.hpp"
 #include "src/platform/etcd_store.hpp"
 #include "src/platform/http_host_list.hpp"
@@ -102,6 +103,7 @@
     void add_scheduling();
     void add_http();
     cell::scheduling_settings scheduling();
+    std::vector<http::daemon_version> versions_in_force();
 
     config::settings settings_;
     membership::member self_;
@@ -111,6 +113,7 @@
     std::unique_ptr<http::server> server_;
     peer_sockets sockets_;
     std::unique_ptr<platform::host_list> host_list_;
+    std::unique_ptr<http::config_api> config_api_;
     kernel::kernel services_;
 };
 
@@ -235,13 +238,36 @@
     callers.daemon_ = self_.daemon_;
     callers.origin_ = self_.origin_;
     callers.seed_ = base::entropy();
+    auto& configuration = services_.find<config::config_service>(
+        config::config_service::service_name);
+    config_api_ = std::make_unique<http::config_api>(
+        configuration, http::operator_guard{settings_.operator_key_hash_},
+        [this] { return versions_in_force(); });
     std::vector<daemon_parts::http_service::add_routes> operator_apis;
+    operator_apis.push_back([this](httplib::Server& server)
+                            { config_api_->add_routes(server); });
     services_.add(daemon_parts::http_service::service_name,
                   std::make_unique<daemon_parts::http_service>(
                       std::move(server_), callers, claims_, clock_,
                       std::move(operator_apis)));
 }
 
+std::vector<http::daemon_version> daemon::impl::versions_in_force()
+{
+    auto& members = services_.find<peer::membership_service>(
+        peer::membership_service::service_name);
+    // The answers are there by the time the operator asks again.
+    members.survey();
+    std::vector<http::daemon_version> versions;
+    for (auto const& m : members.current()->members_)
+    {
+        versions.push_back({m.daemon_, m.data_centre_,
+                            membership::to_string(m.state_),
+                            m.config_version_});
+    }
+    return versions;
+}
+
 bool daemon::impl::drain(base::duration longest)
 {
     logger().info("Planned stop begins.");
--- a/src/daemon/http_service.cpp
+++ b/src/daemon/http_service.cpp
@@ -30,7 +30,7 @@
     callers_->add_routes(server_->routes());
     for (auto const& add : operator_apis_)
     {
-        add(services, server_->routes());
+        add(server_->routes());
     }
     return server_->start();
 }
