--- a/src/http/answer_writer.cpp
+++ b/src/http/answer_writer.cpp
@@ -165,6 +165,10 @@
     response.set_header("X-Tanagerlead-Outcome",
                         to_string(request::outcome::complete));
     response.set_header("X-Tanagerlead-Target", head.target_.str());
+    for (auto const& field : head.headers_)
+    {
+        response.headers.emplace(field.name_, field.value_);
+    }
     response.set_content(whole_content(record.answer()), head.content_type_);
 }
 
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -4,6 +4,7 @@
 #include "src/http/authenticator.hpp"
 #include "src/http/caller_options.hpp"
 #include "src/http/generation_body.hpp"
+#include "src/http/header_names.hpp"
 #include "src/http/request_runner.hpp"
 #include "src/http/server.hpp"
 #include "src/request/issued_key.hpp"
@@ -13,7 +14,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 
 namespace tanagerlead::http
@@ -61,39 +61,6 @@
     return method == "GET" || method == "HEAD";
 }
 
-/// Headers of a caller that a plain service gets.
-bool passes_on(std::string name)
-{
-    static constexpr std::array kept_back{
-        "accept-encoding",
-        "authorization",
-        "connection",
-        "content-length",
-        "content-type",
-        "expect",
-        "host",
-        "keep-alive",
-        "local_addr",
-        "local_port",
-        "proxy-authorization",
-        "remote_addr",
-        "remote_port",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-deadline-ms",
-        "x-non-idempotent",
-        "x-request-id",
-    };
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c)
-                   { return static_cast<char>(std::tolower(c)); });
-    return !name.starts_with("x-tanagerlead-") &&
-           std::find(kept_back.begin(), kept_back.end(), name) ==
-               kept_back.end();
-}
-
 /// Path and query behind "/v1/services/POOL", as the caller wrote them.
 std::string service_path(std::string const& target)
 {
@@ -372,7 +339,7 @@
                   request.body};
     for (auto const& [name, value] : request.headers)
     {
-        if (passes_on(name))
+        if (passes_to_target(name))
         {
             what.call_.headers_.push_back({name, value});
         }
@@ -453,6 +420,7 @@
     }
     work->bearer_ = bearer_key(request.get_header_value("Authorization"));
     work->forwarded_ = options.forwarded_;
+    work->caller_path_ = request.target;
     auto& job = work->job_;
     job.stream_ = what.stream_;
     job.model_ = what.model_;
--- /dev/null
+++ b/src/http/header_names.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string_view>
+
+namespace tanagerlead::http
+{
+
+/// Case does not matter.
+bool equal_names(std::string_view a, std::string_view b);
+
+/// Whether a plain service gets this header of a caller.
+bool passes_to_target(std::string_view name);
+
+/// Whether a caller gets this header of a plain service's answer.
+bool passes_to_caller(std::string_view name);
+
+} // namespace tanagerlead::http
--- a/src/http/request_runner.cpp
+++ b/src/http/request_runner.cpp
@@ -1,5 +1,6 @@
 #include "src/http/request_runner.hpp"
 
+#include "src/http/peer_run.hpp"
 #include "src/http/refusal.hpp"
 #include "src/request/issued_key.hpp"
 
@@ -65,6 +66,20 @@
 void request_runner::start(std::shared_ptr<runnable> const& work)
 {
     watch(work);
+    auto const& identity = work->job_.record_->identity();
+    auto const issuer = request::issuer_of(identity.key_);
+    if (identity.non_idempotent_ && issuer && issuer != settings_.origin_)
+    {
+        workers_.post(
+            [this, work, issuer]
+            {
+                if (work->job_.record_->begin_connect())
+                {
+                    ask_holder(work, *issuer);
+                }
+            });
+        return;
+    }
     work->job_.record_->queue();
     use_.dispatcher_.submit(work->item_,
                             [this, work](request::decision const& decision)
@@ -119,16 +134,36 @@
 {
     auto& record = *work->job_.record_;
     auto const id = record.identity().id_;
-    if (!record.begin_connect() || may_run(*work) == permission::denied)
+    auto const right =
+        record.begin_connect() ? may_run(*work) : permission::denied;
+    if (right != permission::granted)
     {
         use_.dispatcher_.report(
             {id, to.target_, sched::dispatch_event::declined, {}, 0, 0});
+    }
+    if (right == permission::elsewhere)
+    {
+        ask_holder(work, work->foreign_holder_);
+    }
+    if (right != permission::granted)
+    {
         return;
     }
     target_run run{{use_.targets_, use_.dispatcher_, use_.metrics_, use_.clock_,
                     settings_.target_},
                    work->job_,
                    to};
+    bool ended = false;
+    run_known(id, run, [&] { ended = run.run(); });
+    if (!ended)
+    {
+        not_sent(work);
+    }
+}
+
+void request_runner::run_known(base::request_id id, active_run& run,
+                               std::function<void()> const& work)
+{
     {
         std::lock_guard const lock{mutex_};
         runs_[id] = &run;
@@ -137,15 +172,26 @@
             run.stop();
         }
     }
-    auto const ended = run.run();
-    {
-        std::lock_guard const lock{mutex_};
-        runs_.erase(id);
-    }
-    if (!ended)
+    work();
+    std::lock_guard const lock{mutex_};
+    runs_.erase(id);
+}
+
+void request_runner::ask_holder(std::shared_ptr<runnable> const& work,
+                                std::uint64_t origin)
+{
+    auto& record = *work->job_.record_;
+    auto const address = use_.entries_.address_of(origin);
+    // Sent on once at most: two daemons that take each other for the holder
+    // would go on for ever.
+    if (address.empty() || work->forwarded_)
     {
-        not_sent(work);
+        record.end(key_unknown(address.str(),
+                               "the daemon that was given the key is gone"));
+        return;
     }
+    peer_run run{use_.targets_, settings_.target_, use_.clock_, *work, address};
+    run_known(record.identity().id_, run, [&] { run.run(); });
 }
 
 void request_runner::not_sent(std::shared_ptr<runnable> const& work)
@@ -278,7 +324,8 @@
     }
     if (holder.holder_.origin_ != settings_.origin_)
     {
-        return use_foreign_claim(work, holder);
+        work.foreign_holder_ = holder.holder_.origin_;
+        return permission::elsewhere;
     }
     if (holder.holder_ == identity.id_ || take_unused_claim(holder.holder_))
     {
@@ -290,14 +337,6 @@
                                       "no longer remembered"));
 }
 
-request_runner::permission
-request_runner::use_foreign_claim(runnable& work, request::claim const& holder)
-{
-    auto const address = use_.entries_.address_of(holder.holder_.origin_);
-    return deny(work, key_unknown(address.str(),
-                                  "another daemon was given this request"));
-}
-
 request_runner::permission request_runner::deny(runnable& work,
                                                 request::answer_end how)
 {
--- a/src/http/request_runner.hpp
+++ b/src/http/request_runner.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "src/http/target_run.hpp"
+#include "src/http/runnable.hpp"
 #include "src/http/worker_pool.hpp"
 #include "src/request/claim_store.hpp"
 #include "src/request/dispatcher.hpp"
@@ -18,32 +18,6 @@
 namespace tanagerlead::http
 {
 
-enum class run_right
-{
-    none,
-    /// Its key was issued by this life of the daemon and not used before.
-    issued_key,
-    /// The claim in the store is this daemon's.
-    claim,
-};
-
-/// A request on its way through scheduling and targets.
-struct runnable
-{
-    target_job job_;
-    sched::work_item item_;
-    /// Bearer key of its caller, for a request that another daemon answers.
-    std::string bearer_;
-    /// Sent here by another daemon, and not to be sent on.
-    bool forwarded_ = false;
-    int connect_tries_ = 0;
-    /// Why a non-idempotent request may be run here.
-    run_right right_ = run_right::none;
-    /// Request that the claim names: this one, or an earlier one that was not
-    /// run.
-    base::request_id claim_holder_;
-};
-
 struct runner_settings
 {
     std::uint64_t origin_ = 0;
@@ -98,6 +72,8 @@
         granted,
         /// It has been ended.
         denied,
+        /// `foreign_holder_` of the request alone may.
+        elsewhere,
     };
 
     void watch(std::shared_ptr<runnable> const& work);
@@ -107,10 +83,16 @@
     void run_granted(std::shared_ptr<runnable> const& work,
                      request::dispatch_to const& to);
     void not_sent(std::shared_ptr<runnable> const& work);
+    /// Has the daemon that may run the request answer it.
+    void ask_holder(std::shared_ptr<runnable> const& work,
+                    std::uint64_t origin);
+    /// The record, as long as `work` is done, is known to `stop`.
+    void run_known(base::request_id id, active_run& run,
+                   std::function<void()> const& work);
+
     permission may_run(runnable& work);
     permission use_issued_key(runnable& work);
     permission use_claim(runnable& work);
-    permission use_foreign_claim(runnable& work, request::claim const& holder);
     permission deny(runnable& work, request::answer_end how);
     bool take_unused_claim(base::request_id holder);
     /// After the proof that it was not run: a repeat may.
@@ -129,7 +111,7 @@
     mutable std::mutex mutex_;
     std::condition_variable ended_;
     std::unordered_map<base::request_id, std::shared_ptr<runnable>> live_;
-    std::unordered_map<base::request_id, target_run*> runs_;
+    std::unordered_map<base::request_id, active_run*> runs_;
     bool stopping_ = false;
 
     worker_pool workers_;
--- a/src/http/target_connection.cpp
+++ b/src/http/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "src/http/target_connection.hpp"
 
+#include "src/http/header_names.hpp"
+
 #include <httplib.h>
 
 #include <array>
@@ -79,6 +81,17 @@
            response.status == no_content || response.status == not_modified;
 }
 
+target_head make_head(httplib::Response const& response)
+{
+    target_head head{
+        response.status, response.get_header_value("Content-Type"), {}};
+    for (auto const& [name, value] : response.headers)
+    {
+        head.headers_.push_back({name, value});
+    }
+    return head;
+}
+
 void apply(connection_limits const& limits, httplib::ClientImpl& client)
 {
     client.set_connection_timeout(limits.connect_);
@@ -93,6 +106,18 @@
 
 } // namespace
 
+std::string target_head::header(std::string_view name) const
+{
+    for (auto const& field : headers_)
+    {
+        if (equal_names(field.name_, name))
+        {
+            return field.value_;
+        }
+    }
+    return {};
+}
+
 exchange_end http_target_connection::exchange(base::address const& target,
                                               target_call const& call,
                                               connection_limits const& limits,
@@ -106,9 +131,7 @@
     request.response_handler = [&](httplib::Response const& response)
     {
         framed = is_framed(response, call.method_);
-        refused = !listener.on_head(
-            {response.status, response.get_header_value("Content-Type"),
-             response.get_header_value("X-Request-Id")});
+        refused = !listener.on_head(make_head(response));
         return !refused;
     };
     request.content_receiver =
--- a/src/http/target_connection.hpp
+++ b/src/http/target_connection.hpp
@@ -3,6 +3,7 @@
 #include "src/base/address.hpp"
 #include "src/base/ids.hpp"
 #include "src/base/units.hpp"
+#include "src/request/answer_buffer.hpp"
 
 #include <string>
 #include <string_view>
@@ -11,11 +12,7 @@
 namespace tanagerlead::http
 {
 
-struct header_field
-{
-    std::string name_;
-    std::string value_;
-};
+using request::header_field;
 
 /// One HTTP request as a target gets it.
 struct target_call
@@ -33,8 +30,10 @@
 {
     int status_ = 0;
     std::string content_type_;
-    /// `X-Request-Id` that the target echoed; empty when it did not.
-    std::string request_id_;
+    std::vector<header_field> headers_;
+
+    /// Empty when there is no such header; case does not matter.
+    std::string header(std::string_view name) const;
 };
 
 /// Lets another thread end an exchange. Valid until the exchange returns.
--- a/src/http/target_run.cpp
+++ b/src/http/target_run.cpp
@@ -1,10 +1,13 @@
 #include "src/http/target_run.hpp"
 
+#include "src/http/header_names.hpp"
 #include "src/http/usage.hpp"
 #include "src/request/metrics.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cassert>
+#include <iterator>
 
 namespace tanagerlead::http
 {
@@ -113,8 +116,9 @@
 bool target_run::echoes_request(target_head const& head) const
 {
     // Plain services need not echo the id.
-    auto const optional = !job_.model_ && head.request_id_.empty();
-    return optional || head.request_id_ == record_.identity().id_.str();
+    auto const echoed = head.header("X-Request-Id");
+    auto const optional = !job_.model_ && echoed.empty();
+    return optional || echoed == record_.identity().id_.str();
 }
 
 bool target_run::on_head(target_head const& head)
@@ -140,8 +144,16 @@
     head_ = head;
     is_stream_ = job_.stream_ && head.status_ == status_ok &&
                  head.content_type_.starts_with("text/event-stream");
-    record_.answer().begin(
-        {head.status_, head.content_type_, is_stream_, to_.target_});
+    request::answer_head answer{
+        head.status_, head.content_type_, is_stream_, to_.target_, {}};
+    if (!job_.model_)
+    {
+        std::copy_if(head.headers_.begin(), head.headers_.end(),
+                     std::back_inserter(answer.headers_),
+                     [](header_field const& field)
+                     { return passes_to_caller(field.name_); });
+    }
+    record_.answer().begin(std::move(answer));
 }
 
 bool target_run::on_bytes(std::string_view bytes)
--- a/src/http/target_run.hpp
+++ b/src/http/target_run.hpp
@@ -42,9 +42,20 @@
     target_limits const& limits_;
 };
 
+/// Work on a request that other threads may end. Any thread.
+class active_run
+{
+public:
+    virtual ~active_run() = default;
+    /// Ends it soon: the caller is gone, or the daemon stops.
+    virtual void stop() = 0;
+    /// Stops it when nobody has been reading for the time of grace.
+    virtual void stop_if_abandoned() = 0;
+};
+
 /// One granted request on its target: sends it, once, and reads the answer
 /// into the request's buffer.
-class target_run final : private target_listener
+class target_run final : public active_run, private target_listener
 {
 public:
     target_run(target_run_services const& use, target_job const& job,
@@ -55,10 +66,8 @@
     /// Otherwise the request has ended. Called once.
     bool run();
 
-    /// Ends the run soon: the caller is gone, or the daemon stops. Any thread.
-    void stop();
-    /// Stops when nobody has been reading for the time of grace. Any thread.
-    void stop_if_abandoned();
+    void stop() override;
+    void stop_if_abandoned() override;
 
 private:
     enum class verdict
--- a/src/request/answer_buffer.hpp
+++ b/src/request/answer_buffer.hpp
@@ -10,10 +10,17 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace tanagerlead::request
 {
 
+struct header_field
+{
+    std::string name_;
+    std::string value_;
+};
+
 /// What is known of an answer before its content.
 struct answer_head
 {
@@ -23,6 +30,8 @@
     /// Whether the content is a stream of events.
     bool stream_ = false;
     base::target_id target_;
+    /// Further headers for the caller.
+    std::vector<header_field> headers_{};
 };
 
 /// How a request ended.
@@ -75,6 +84,7 @@
     std::optional<answer_end> end() const;
     std::uint64_t last_event() const;
     std::size_t bytes() const;
+    std::size_t most_bytes() const { return most_bytes_; }
 
 private:
     std::size_t const most_bytes_;
--- a/tests/http/caller_api_test.cpp
+++ b/tests/http/caller_api_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/http/engine_script.hpp"
 #include "tests/http/fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -8,36 +9,6 @@
 namespace
 {
 
-std::string engine_event(int id)
-{
-    auto const number = std::to_string(id);
-    return "id: " + number + "\ndata: {\"n\":" + number + "}\n\n";
-}
-
-void send_events(int from, int to, bool done, httplib::Response& response)
-{
-    response.set_chunked_content_provider(
-        "text/event-stream",
-        [from, to, done](std::size_t, httplib::DataSink& sink)
-        {
-            std::string text;
-            for (int id = from; id <= to; ++id)
-            {
-                text += engine_event(id);
-            }
-            if (done)
-            {
-                text += "data: [DONE]\n\n";
-            }
-            sink.write(text.data(), text.size());
-            if (done)
-            {
-                sink.done();
-            }
-            return done;
-        });
-}
-
 std::string outcome_event(std::string const& id)
 {
     return "event: outcome\ndata: {\"outcome\":\"complete\",\"request\":\"" +
@@ -55,8 +26,7 @@
 {
     auto const answer = R"({"usage":{"prompt_tokens":3,"completion_tokens":2,
         "prompt_tokens_details":{"cached_tokens":1}},"text":"é"})";
-    fixture_.target_.on("POST", [&](auto const&, auto& response)
-                        { response.set_content(answer, "application/json"); });
+    fixture_.target_.on("POST", answers(200, answer));
     auto const got = fixture_.post(chat_path, chat_body);
     CHECK(got);
     CHECK_EQUAL(200, got->status);
@@ -75,14 +45,13 @@
 
 TEST(caller_api, stream_ends_with_its_outcome)
 {
-    fixture_.target_.on("POST", [](auto const&, auto& response)
-                        { send_events(1, 3, true, response); });
+    fixture_.target_.on("POST", streams(engine_events(1, 3), stream_end::done));
     auto const got = fixture_.post(chat_path, stream_body);
     CHECK(got);
     CHECK_EQUAL(200, got->status);
     auto const id = got->get_header_value("X-Tanagerlead-Request");
-    auto const expected = engine_event(1) + engine_event(2) + engine_event(3) +
-                          "data: [DONE]\n\n" + outcome_event(id);
+    auto const expected =
+        engine_events(1, 3) + "data: [DONE]\n\n" + outcome_event(id);
     STRCMP_EQUAL(expected.c_str(), got->body.c_str());
     STRCMP_EQUAL("submit started first_token finished",
                  fixture_.dispatcher_.log().c_str());
