--- a/src/sched/prefix_index.cpp
+++ b/src/sched/prefix_index.cpp
@@ -1,6 +1,7 @@
 #include "src/sched/prefix_index.hpp"
 
 #include <algorithm>
+#include <bit>
 
 namespace tanagerlead::sched
 {
@@ -8,77 +9,110 @@
 namespace
 {
 
+/// A bucket fills a cache line.
+constexpr std::size_t bucket_blocks = 4;
+/// Room per block of capacity, so that buckets seldom overflow.
+constexpr std::size_t spare = 2;
 constexpr std::size_t least_capacity = 64;
-/// What is left of the capacity when the target had evicted more than we
-/// thought.
+/// What the capacity is multiplied by when the target had evicted more than
+/// expected, and when it had not.
 constexpr double shrink = 0.9;
+constexpr double growth = 1.01;
 
 } // namespace
 
-// A prompt's blocks are touched last to first, so a block is always more
-// recent than those that build on it: what is kept of a prompt is a leading
-// part, and its end can be found by bisection.
+prefix_index::prefix_index(std::size_t capacity)
+    : most_capacity_{capacity}, capacity_{capacity},
+      buckets_{std::bit_ceil(
+          std::max<std::size_t>(spare * capacity / bucket_blocks, 1))}
+{
+}
+
+std::size_t prefix_index::bucket_of(std::uint64_t hash) const
+{
+    constexpr std::uint64_t mix = 0x9e3779b97f4a7c15U;
+    return ((hash * mix) >> 32U & (buckets_ - 1)) * bucket_blocks;
+}
+
+// A list in order of use would be exact, but costs several cache misses a
+// block. Counting the insertions since a block was touched gives nearly the
+// same order.
+bool prefix_index::kept(block const& b) const
+{
+    return b.stamp_ != 0 && insertions_ - b.stamp_ < capacity_;
+}
+
+bool prefix_index::contains(std::uint64_t hash) const
+{
+    auto const* const bucket = &blocks_[bucket_of(hash)];
+    return std::any_of(bucket, bucket + bucket_blocks,
+                       [&](block const& b)
+                       { return b.hash_ == hash && kept(b); });
+}
+
+// A prompt's blocks are touched last to first, so a block is no older than
+// those that build on it: what is kept of a prompt is a leading part, and its
+// end can be found by bisection.
 base::token_count
 prefix_index::cached(std::span<std::uint64_t const> prefix) const
 {
-    if (prefix.empty() || !blocks_.contains(prefix.front()))
+    if (blocks_.empty() || prefix.empty() || !contains(prefix.front()))
     {
         return 0;
     }
-    auto const end = std::partition_point(prefix.begin(), prefix.end(),
-                                          [this](auto hash)
-                                          { return blocks_.contains(hash); });
+    auto const end =
+        std::partition_point(prefix.begin(), prefix.end(),
+                             [this](auto hash) { return contains(hash); });
     return (end - prefix.begin()) * prefix_block_tokens;
 }
 
-void prefix_index::add(std::span<std::uint64_t const> prefix)
+void prefix_index::touch(std::uint64_t hash)
 {
-    auto const kept = prefix.first(std::min(prefix.size(), capacity_));
-    for (auto hash = kept.rbegin(); hash != kept.rend(); ++hash)
+    auto* const bucket = &blocks_[bucket_of(hash)];
+    auto* const end = bucket + bucket_blocks;
+    auto* place = std::find_if(bucket, end,
+                               [&](block const& b)
+                               { return b.hash_ == hash && b.stamp_ != 0; });
+    if (place == end)
     {
-        auto const [place, inserted] = blocks_.try_emplace(*hash);
-        if (inserted)
-        {
-            recent_.push_front(*hash);
-            place->second = recent_.begin();
-        }
-        else
-        {
-            recent_.splice(recent_.begin(), recent_, place->second);
-        }
+        place = std::min_element(bucket, end,
+                                 [](block const& a, block const& b)
+                                 { return a.stamp_ < b.stamp_; });
+        *place = {hash, 0};
     }
-    evict();
+    insertions_ += kept(*place) ? 0 : 1;
+    place->stamp_ = insertions_;
 }
 
-void prefix_index::evict()
+void prefix_index::add(std::span<std::uint64_t const> prefix)
 {
-    while (blocks_.size() > capacity_)
+    if (blocks_.empty() && !prefix.empty())
     {
-        blocks_.erase(recent_.back());
-        recent_.pop_back();
+        blocks_.resize(buckets_ * bucket_blocks);
     }
+    auto const first = prefix.first(std::min(prefix.size(), capacity_));
+    std::for_each(first.rbegin(), first.rend(),
+                  [this](auto hash) { touch(hash); });
 }
 
-void prefix_index::correct(std::span<std::uint64_t const> prefix,
-                           base::token_count expected, base::token_count cached)
+void prefix_index::correct(base::token_count expected, base::token_count cached)
 {
-    // A target counts whole blocks of its own size; a difference of one block
-    // is no miss.
-    if (cached + prefix_block_tokens >= expected)
+    if (expected == 0)
     {
         return;
     }
-    // The prompt itself is in the cache now; what was older than its missing
-    // part is gone from there, so keep less in future.
-    auto const smaller = static_cast<double>(blocks_.size()) * shrink;
-    capacity_ = std::max(
-        {least_capacity, prefix.size(), static_cast<std::size_t>(smaller)});
-    evict();
+    // A target may count in blocks of another size; less than a block is no
+    // miss.
+    auto const miss = cached + prefix_block_tokens < expected;
+    auto const changed =
+        static_cast<double>(capacity_) * (miss ? shrink : growth) + 1;
+    auto const least = std::min(least_capacity, most_capacity_);
+    capacity_ =
+        std::clamp(static_cast<std::size_t>(changed), least, most_capacity_);
 }
 
 void prefix_index::clear()
 {
-    recent_.clear();
     blocks_.clear();
 }
 
--- a/src/sched/prefix_index.hpp
+++ b/src/sched/prefix_index.hpp
@@ -2,49 +2,54 @@
 
 #include "src/sched/types.hpp"
 
-#include <absl/container/flat_hash_map.h>
-
-#include <list>
 #include <span>
+#include <vector>
 
 namespace tanagerlead::sched
 {
 
 /// What one target's prefix cache should hold, going by what was sent to it.
-/// Bounded, least recently used first out, as the target's own cache is.
+/// Bounded, and about least recently used first out, as the target's own cache
+/// is. How much the target keeps is learned from what it says it had cached.
 class prefix_index
 {
 public:
     /// In blocks of `prefix_block_tokens`.
     static constexpr std::size_t default_capacity = 4096;
 
-    explicit prefix_index(std::size_t capacity = default_capacity)
-        : capacity_{capacity}
-    {
-    }
+    explicit prefix_index(std::size_t capacity = default_capacity);
 
     /// Leading tokens of the prompt that should be cached.
     base::token_count cached(std::span<std::uint64_t const> prefix) const;
     /// The target was sent this prompt.
     void add(std::span<std::uint64_t const> prefix);
-    /// The target took only `cached` tokens of this prompt from its cache
-    /// when `expected` had been expected.
-    void correct(std::span<std::uint64_t const> prefix,
-                 base::token_count expected, base::token_count cached);
+    /// The target took `cached` tokens of a prompt from its cache when
+    /// `expected` had been expected.
+    void correct(base::token_count expected, base::token_count cached);
     /// The target died and its cache with it.
     void clear();
 
-    std::size_t size() const { return blocks_.size(); }
     std::size_t capacity() const { return capacity_; }
 
 private:
-    void evict();
+    struct block
+    {
+        std::uint64_t hash_ = 0;
+        /// Insertions until it was last touched; zero when unused.
+        std::uint64_t stamp_ = 0;
+    };
+
+    std::size_t bucket_of(std::uint64_t hash) const;
+    bool kept(block const& b) const;
+    bool contains(std::uint64_t hash) const;
+    void touch(std::uint64_t hash);
 
+    std::size_t most_capacity_;
     std::size_t capacity_;
-    /// Most recent first.
-    std::list<std::uint64_t> recent_;
-    absl::flat_hash_map<std::uint64_t, std::list<std::uint64_t>::iterator>
-        blocks_;
+    std::size_t buckets_;
+    /// Buckets of a few blocks each, in one piece; empty before the first use.
+    std::vector<block> blocks_;
+    std::uint64_t insertions_ = 0;
 };
 
 } // namespace tanagerlead::sched
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -255,7 +255,10 @@
     targets_.on_granted(target, now_);
     run.outstanding_ = target.outstanding_;
     target.prefilling_ += run.item_.prompt_tokens_ - run.cached_;
-    target.prefixes_.add(run.item_.prefix_);
+    if (parts_.protects_)
+    {
+        target.prefixes_.add(run.item_.prefix_);
+    }
     if (run.suspect_)
     {
         ++target.suspects_;
@@ -344,8 +347,7 @@
 void scheduler::on_finished(running_request& run, dispatch_report const& event)
 {
     run.target_->health_.on_progress(now_);
-    run.target_->prefixes_.correct(run.item_.prefix_, run.cached_,
-                                   event.cached_tokens_);
+    run.target_->prefixes_.correct(run.cached_, event.cached_tokens_);
     quarantine_.on_finished(run.item_.fingerprint_, now_);
     lengths_.add(run.item_, event.output_tokens_);
     auto const uncached = std::max<base::token_count>(
