--- a/src/cell/cell_entry.cpp
+++ b/src/cell/cell_entry.cpp
@@ -56,21 +56,23 @@
 
 cell_entry::cell_entry(base::cell_id cell, daemon_life self,
                        scheduler_factory const& make_scheduler,
+                       leaving_targets const& leaving,
                        revision_counter& revisions)
     : cell_{std::move(cell)}, self_{std::move(self)},
-      make_scheduler_{&make_scheduler}, revisions_{&revisions}
+      make_scheduler_{&make_scheduler}, leaving_{&leaving}, revisions_{
+                                                                &revisions}
 {
 }
 
-void cell_entry::configure(cell_layout const& layout,
-                           config::configuration const& configuration,
+void cell_entry::configure(cell_layout const& layout, config::snapshot snapshot,
                            double share)
 {
     layout_ = layout;
-    settings_ = settings_for(layout, configuration, share);
+    config_ = std::move(snapshot);
+    share_ = share;
     if (share_scheduler_)
     {
-        share_scheduler_->configure(settings_);
+        share_scheduler_->configure(settings_for(layout_, *config_, share_));
     }
 }
 
@@ -86,21 +88,18 @@
     tell_all_again(now);
 }
 
-void cell_entry::set_leaving(base::target_id const& target, bool leaving,
-                             base::time_point now)
+void cell_entry::on_leaving_targets(base::time_point now)
 {
-    if (leaving)
+    if (!share_scheduler_)
     {
-        leaving_.insert(target);
+        return;
     }
-    else
+    for (auto const& target : layout_.targets_)
     {
-        leaving_.erase(target);
-    }
-    if (share_scheduler_)
-    {
-        share_scheduler_->set_leaving(target, leaving, now);
+        share_scheduler_->set_leaving(target.id_,
+                                      leaving_->contains(target.id_), now);
     }
+    share_held_until_ = now;
 }
 
 void cell_entry::submit(sched::work_item const& item, base::time_point now)
@@ -355,10 +354,12 @@
     auto next = std::min(resends_.next(), expiries_.next());
     if (share_scheduler_)
     {
-        next = std::min(next, share_scheduler_->next_wakeup());
+        next = std::min(
+            next, std::max(share_scheduler_->next_wakeup(), share_held_until_));
         if (permission_is_fresh_)
         {
-            next = std::min(next, permitted_until_);
+            next =
+                std::min(next, std::max(permitted_until_, share_held_until_));
         }
     }
     else if (waiting_ > 0 && owner_ != self_)
@@ -493,8 +494,9 @@
     auto const found =
         std::find_if(targets.begin(), targets.end(),
                      [&](auto const& t) { return t.id_ == target; });
-    return found != targets.end() && !found->draining_ &&
-           !leaving_.contains(target);
+    // Whether it is leaving is for the owner to say: this daemon's own copy of
+    // the host list is as old as its last turn as an owner.
+    return found != targets.end() && !found->draining_;
 }
 
 base::address cell_entry::address_of(base::target_id const& target) const
@@ -548,11 +550,9 @@
 void cell_entry::begin_share(base::time_point now)
 {
     share_scheduler_ = (*make_scheduler_)();
-    share_scheduler_->configure(settings_);
-    for (auto const& target : leaving_)
-    {
-        share_scheduler_->set_leaving(target, true, now);
-    }
+    share_scheduler_->configure(settings_for(layout_, *config_, share_));
+    on_leaving_targets(now);
+    share_held_until_ = leaving_->usable_from(now);
     for (auto const& [request, one] : records_)
     {
         if (one.state_ == request_state::waiting)
@@ -575,7 +575,7 @@
 
 void cell_entry::permit(base::time_point now)
 {
-    auto const top = top_tier(settings_.tiers_);
+    auto const top = top_tier(config_->tiers_);
     permission_is_fresh_ = now < permitted_until_;
     share_scheduler_->permit_down_to(
         permission_is_fresh_ ? std::max(top, permitted_) : top, now);
@@ -583,6 +583,10 @@
 
 void cell_entry::advance_share(base::time_point now, entry_output& out)
 {
+    if (now < share_held_until_)
+    {
+        return;
+    }
     permit(now);
     actions_.clear();
     share_scheduler_->advance(now, actions_);
--- a/src/cell/cell_entry.hpp
+++ b/src/cell/cell_entry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/cell/cell_owner.hpp"
+#include "src/cell/leaving_targets.hpp"
 #include "src/request/dispatcher.hpp"
 
 #include <functional>
@@ -53,17 +54,17 @@
 class cell_entry
 {
 public:
-    /// Both references outlive it.
+    /// The references outlive it.
     cell_entry(base::cell_id cell, daemon_life self,
                scheduler_factory const& make_scheduler,
-               revision_counter& revisions);
+               leaving_targets const& leaving, revision_counter& revisions);
 
     /// `share` is this entry's part of the cell while its owner is silent.
-    void configure(cell_layout const& layout,
-                   config::configuration const& configuration, double share);
+    void configure(cell_layout const& layout, config::snapshot snapshot,
+                   double share);
     void set_owner(daemon_life const& owner, base::time_point now);
-    void set_leaving(base::target_id const& target, bool leaving,
-                     base::time_point now);
+    /// What it was told to refer to has changed.
+    void on_leaving_targets(base::time_point now);
 
     void submit(sched::work_item const& item, base::time_point now);
     void resubmit(sched::work_item const& item, base::time_point now);
@@ -152,10 +153,11 @@
     base::cell_id cell_;
     daemon_life self_;
     scheduler_factory const* make_scheduler_;
+    leaving_targets const* leaving_;
     revision_counter* revisions_;
     cell_layout layout_;
-    sched::cell_settings settings_;
-    std::set<base::target_id> leaving_;
+    config::snapshot config_;
+    double share_ = 1.0;
 
     daemon_life owner_;
     cell_epoch epoch_{};
@@ -171,6 +173,7 @@
     timer_queue<base::request_id> resends_;
     timer_queue<base::request_id> expiries_;
     std::unique_ptr<sched::cell_scheduler> share_scheduler_;
+    base::time_point share_held_until_ = base::time_point::min();
     std::vector<sched::action> actions_;
 };
 
--- a/src/cell/cell_owner.cpp
+++ b/src/cell/cell_owner.cpp
@@ -311,7 +311,10 @@
     }
     send_queries(now, out);
     actions_.clear();
-    scheduler_->advance(now, actions_);
+    if (now >= held_until_)
+    {
+        scheduler_->advance(now, actions_);
+    }
     for (auto const& action : actions_)
     {
         apply(action, now, out);
@@ -325,7 +328,8 @@
 
 base::time_point cell_owner::next_wakeup() const
 {
-    auto next = std::min(timers_.next(), scheduler_->next_wakeup());
+    auto next = std::min(timers_.next(),
+                         std::max(scheduler_->next_wakeup(), held_until_));
     if (!queued_by_entry_.empty())
     {
         next = std::min(next, next_heartbeat_);
--- a/src/cell/cell_owner.hpp
+++ b/src/cell/cell_owner.hpp
@@ -38,6 +38,8 @@
 
     void configure(sched::cell_settings const& settings);
     void observe(sched::target_load const& load, base::time_point now);
+    /// Nothing is granted or refused before then.
+    void hold_until(base::time_point when) { held_until_ = when; }
     void set_leaving(base::target_id const& target, bool leaving,
                      base::time_point now);
     /// Requests of any other life are dropped; what those had in flight is
@@ -129,6 +131,7 @@
     cell_epoch epoch_;
     std::unique_ptr<sched::cell_scheduler> scheduler_;
     base::tier lowest_tier_{};
+    base::time_point held_until_ = base::time_point::min();
     held_map held_;
     timer_queue<base::request_id> timers_;
     /// Entries with requests queued here, and how many.
--- a/src/cell/coordinator.cpp
+++ b/src/cell/coordinator.cpp
@@ -19,6 +19,12 @@
     return m.state_ == membership::member_state::dead;
 }
 
+bool has_target(cell_layout const& layout, base::target_id const& target)
+{
+    return std::any_of(layout.targets_.begin(), layout.targets_.end(),
+                       [&](auto const& one) { return one.id_ == target; });
+}
+
 /// What should go to the same cell: a long thread by its first blocks, else
 /// all of the workspace's.
 std::string affinity_key(sched::work_item const& item)
@@ -36,7 +42,7 @@
     : settings_{std::move(settings)},
       config_{std::make_shared<config::configuration>()},
       members_{std::make_shared<membership::member_list>()},
-      isolation_{settings_.self_.daemon_}
+      isolation_{settings_.self_.daemon_}, leaving_{settings_.has_host_list_}
 {
 }
 
@@ -45,6 +51,10 @@
 {
     config_ = snapshot;
     rebuild(now);
+    for (auto& [id, owner] : owned_)
+    {
+        configure(id, owner);
+    }
 }
 
 void coordinator::on_members(membership::view const& view, base::time_point now)
@@ -68,33 +78,25 @@
 {
     for (auto& [id, owner] : owned_)
     {
-        auto const& targets = map_.find(id)->targets_;
-        auto const found = std::find_if(targets.begin(), targets.end(),
-                                        [&](auto const& target)
-                                        { return target.id_ == load.target_; });
-        if (found != targets.end())
+        if (has_target(*map_.find(id), load.target_))
         {
             owner.observe(load, now);
         }
     }
 }
 
-void coordinator::set_leaving(base::target_id const& target, bool leaving,
-                              base::time_point now)
+void coordinator::on_leaving_targets(std::set<base::target_id> targets,
+                                     base::time_point now)
 {
-    auto const changed = leaving ? leaving_targets_.insert(target).second
-                                 : leaving_targets_.erase(target) > 0;
-    if (!changed)
-    {
-        return;
-    }
+    leaving_.set(std::move(targets), now);
     for (auto& [id, owner] : owned_)
     {
-        owner.set_leaving(target, leaving, now);
+        tell_leaving(id, owner, now);
+        owner.hold_until(now);
     }
     for (auto& [id, entry] : entries_)
     {
-        entry.set_leaving(target, leaving, now);
+        entry.on_leaving_targets(now);
     }
 }
 
@@ -229,6 +231,14 @@
     return traces_.find(request);
 }
 
+bool coordinator::chooses_targets() const
+{
+    return !owned_.empty() ||
+           std::any_of(entries_.begin(), entries_.end(),
+                       [](auto const& one)
+                       { return one.second.works_from_share(); });
+}
+
 bool coordinator::is_isolated(base::time_point now) const
 {
     return isolation_.is_isolated(now);
@@ -269,13 +279,25 @@
             cell_owner fresh{id, cell_epoch{++last_epoch_},
                              settings_.make_scheduler_()};
             found = owned_.emplace(id, std::move(fresh)).first;
+            configure(id, found->second);
+            found->second.hold_until(leaving_.usable_from(now));
         }
-        constexpr double whole = 1.0;
-        found->second.configure(settings_for(layout, *config_, whole));
-        for (auto const& target : leaving_targets_)
-        {
-            found->second.set_leaving(target, true, now);
-        }
+        tell_leaving(id, found->second, now);
+    }
+}
+
+void coordinator::configure(base::cell_id const& cell, cell_owner& owner) const
+{
+    constexpr double whole = 1.0;
+    owner.configure(settings_for(*map_.find(cell), *config_, whole));
+}
+
+void coordinator::tell_leaving(base::cell_id const& cell, cell_owner& owner,
+                               base::time_point now) const
+{
+    for (auto const& target : map_.find(cell)->targets_)
+    {
+        owner.set_leaving(target.id_, leaving_.contains(target.id_), now);
     }
 }
 
@@ -291,7 +313,7 @@
             vanished.push_back(id);
             continue;
         }
-        entry.configure(*layout, *config_, standing_share());
+        entry.configure(*layout, config_, standing_share());
     }
     for (auto const& id : vanished)
     {
@@ -351,13 +373,9 @@
     if (found == entries_.end())
     {
         cell_entry fresh{cell, settings_.self_, settings_.make_scheduler_,
-                         revisions_};
-        fresh.configure(*map_.find(cell), *config_, standing_share());
+                         leaving_, revisions_};
+        fresh.configure(*map_.find(cell), config_, standing_share());
         fresh.set_owner(map_.owner(cell), now);
-        for (auto const& target : leaving_targets_)
-        {
-            fresh.set_leaving(target, true, now);
-        }
         found = entries_.emplace(cell, std::move(fresh)).first;
     }
     return found->second;
--- a/src/cell/coordinator.hpp
+++ b/src/cell/coordinator.hpp
@@ -16,6 +16,8 @@
     daemon_life self_;
     base::data_centre_id data_centre_;
     scheduler_factory make_scheduler_;
+    /// Whether there is a host list, whose first reading is waited for.
+    bool has_host_list_ = false;
 };
 
 /// What the coordinator wants done.
@@ -58,9 +60,9 @@
                     base::time_point now);
     /// A target's own report of its load.
     void observe(sched::target_load const& load, base::time_point now);
-    /// From the host list or a failed probe.
-    void set_leaving(base::target_id const& target, bool leaving,
-                     base::time_point now);
+    /// All targets that the host list, just read, calls leaving.
+    void on_leaving_targets(std::set<base::target_id> targets,
+                            base::time_point now);
     void set_store_reachable(bool reachable, base::time_point now);
     /// New work is refused; what waits is still decided.
     void leave() { is_leaving_ = true; }
@@ -76,6 +78,9 @@
     cell_map const& map() const { return map_; }
     /// Targets whose load this daemon should watch.
     std::vector<config::target_config> owned_targets() const;
+    /// This daemon chooses targets, as an owner or for an owner that is
+    /// silent, and so needs to know the host list.
+    bool chooses_targets() const;
     std::vector<cell_status> status() const;
     request_trace const* explain(base::request_id request) const;
     bool is_isolated(base::time_point now) const;
@@ -86,6 +91,9 @@
     void configure_entries(base::time_point now);
     void place_again(base::cell_id const& vanished, base::time_point now);
     double standing_share() const;
+    void configure(base::cell_id const& cell, cell_owner& owner) const;
+    void tell_leaving(base::cell_id const& cell, cell_owner& owner,
+                      base::time_point now) const;
 
     base::cell_id choose_cell(sched::work_item const& item) const;
     cell_entry& entry_for(base::cell_id const& cell, base::time_point now);
@@ -123,7 +131,7 @@
     /// Origins of the members that are not dead.
     std::set<std::uint64_t> lives_;
     isolation isolation_;
-    std::set<base::target_id> leaving_targets_;
+    leaving_targets leaving_;
     bool is_leaving_ = false;
 
     std::map<base::cell_id, cell_owner> owned_;
--- a/src/cell/scheduling_service.cpp
+++ b/src/cell/scheduling_service.cpp
@@ -52,6 +52,7 @@
     own.self_ = {self.daemon_, self.origin_};
     own.data_centre_ = self.data_centre_;
     own.make_scheduler_ = settings_.make_scheduler_;
+    own.has_host_list_ = settings_.read_hosts_ != nullptr;
     coordinator_ = std::make_unique<coordinator>(std::move(own));
     control_.run([this] { connect(); });
     observer_ = std::thread{[this]
@@ -327,6 +328,7 @@
         deliver(decided);
     }
     isolated_ = coordinator_->is_isolated(now);
+    watch_hosts(coordinator_->chooses_targets());
     arm_timer();
 }
 
@@ -381,30 +383,55 @@
     observed_targets_ = coordinator_->owned_targets();
 }
 
+void scheduling_service::watch_hosts(bool watch)
+{
+    std::unique_lock lock{observer_mutex_};
+    auto const begins = watch && !watches_hosts_;
+    watches_hosts_ = watch;
+    hosts_are_due_ = hosts_are_due_ || begins;
+    lock.unlock();
+    if (begins)
+    {
+        // Grants wait for the first reading.
+        observer_wake_.notify_one();
+    }
+}
+
 void scheduling_service::observe()
 {
+    auto next_loads = base::time_point::min();
     auto next_hosts = base::time_point::min();
     std::unique_lock lock{observer_mutex_};
     while (!observer_stopping_)
     {
+        auto const now = control_.now();
+        auto const hosts_due = std::exchange(hosts_are_due_, false) ||
+                               (watches_hosts_ && now >= next_hosts);
         lock.unlock();
-        observe_loads();
-        if (control_.now() >= next_hosts)
+        if (hosts_due)
         {
+            next_hosts = now + settings_.hosts_interval_;
             observe_hosts();
-            next_hosts = control_.now() + settings_.hosts_interval_;
         }
-        if (settings_.store_reachable_)
+        if (now >= next_loads)
         {
-            post(
-                [this, reachable = settings_.store_reachable_()] {
-                    coordinator_->set_store_reachable(reachable,
-                                                      control_.now());
-                });
+            next_loads = now + settings_.load_interval_;
+            observe_store();
+            observe_loads();
         }
         lock.lock();
-        observer_wake_.wait_for(lock, settings_.load_interval_,
-                                [this] { return observer_stopping_; });
+        observer_wake_.wait_for(
+            lock, settings_.load_interval_,
+            [this] { return observer_stopping_ || hosts_are_due_; });
+    }
+}
+
+void scheduling_service::observe_store()
+{
+    if (settings_.store_reachable_)
+    {
+        post([this, reachable = settings_.store_reachable_()]
+             { coordinator_->set_store_reachable(reachable, control_.now()); });
     }
 }
 
@@ -451,15 +478,18 @@
     {
         states[host.address_] = host.state_;
     }
-    auto const now = control_.now();
+    std::set<base::target_id> leaving;
     for (auto const& target : config_.current()->targets_)
     {
         auto const found = states.find(target.address_);
         // A target that the lagging list lacks may be new.
-        auto const leaving = found != states.end() &&
-                             found->second == platform::host_state::leaving;
-        coordinator_->set_leaving(target.id_, leaving, now);
+        if (found != states.end() &&
+            found->second == platform::host_state::leaving)
+        {
+            leaving.insert(target.id_);
+        }
     }
+    coordinator_->on_leaving_targets(std::move(leaving), control_.now());
 }
 
 } // namespace tanagerlead::cell
--- a/src/cell/scheduling_service.hpp
+++ b/src/cell/scheduling_service.hpp
@@ -108,7 +108,9 @@
     void arm_timer();
     void publish();
 
+    void watch_hosts(bool watch);
     void observe();
+    void observe_store();
     void observe_loads();
     void observe_hosts();
     void apply_hosts(std::vector<platform::listed_host> const& hosts);
@@ -136,6 +138,8 @@
     std::mutex observer_mutex_;
     std::condition_variable observer_wake_;
     bool observer_stopping_ = false;
+    bool watches_hosts_ = false;
+    bool hosts_are_due_ = false;
     std::vector<config::target_config> observed_targets_;
     std::thread observer_;
 };
--- a/tests/cell/cluster.cpp
+++ b/tests/cell/cluster.cpp
@@ -3,6 +3,7 @@
 #include "tests/cell/fifo_scheduler.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerlead::cell
 {
@@ -36,7 +37,8 @@
     return made;
 }
 
-cluster::cluster(std::size_t nodes, std::uint64_t seed) : random_{seed}
+cluster::cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list)
+    : random_{seed}, has_host_list_{has_host_list}
 {
     config_ = std::make_shared<config::configuration const>(
         small_configuration(2, 2));
@@ -55,6 +57,7 @@
     nodes_[i].frozen_ = false;
     nodes_[i].state_ = membership::member_state::alive;
     coordinator_settings settings;
+    settings.has_host_list_ = has_host_list_;
     settings.self_ = nodes_[i].life_;
     settings.data_centre_ = base::data_centre_id{"brest"};
     settings.make_scheduler_ = []
@@ -87,6 +90,7 @@
 void cluster::crash(std::size_t i)
 {
     nodes_[i].coordinator_.reset();
+    nodes_[i].unread_.clear();
     nodes_[i].state_ = membership::member_state::dead;
 }
 
@@ -98,6 +102,10 @@
 void cluster::freeze(std::size_t i, bool frozen)
 {
     nodes_[i].frozen_ = frozen;
+    for (auto const& arrived : std::exchange(nodes_[i].unread_, {}))
+    {
+        deliver(arrived);
+    }
 }
 
 void cluster::set_state(std::size_t i, membership::member_state state)
@@ -170,6 +178,12 @@
     advance(i);
 }
 
+void cluster::read_hosts(std::size_t i, std::set<base::target_id> leaving)
+{
+    at(i).on_leaving_targets(std::move(leaving), now_);
+    advance(i);
+}
+
 void cluster::resubmit(std::size_t i, base::request_id request)
 {
     at(i).resubmit(items_.at(request), now_);
@@ -269,6 +283,12 @@
 
 void cluster::deliver(datagram const& arrived)
 {
+    if (nodes_[arrived.to_].frozen_)
+    {
+        // Its socket keeps the datagram until it runs again.
+        nodes_[arrived.to_].unread_.push_back(arrived);
+        return;
+    }
     if (!runs(arrived.to_))
     {
         return;
--- a/tests/cell/cluster.hpp
+++ b/tests/cell/cluster.hpp
@@ -33,7 +33,7 @@
 class cluster
 {
 public:
-    cluster(std::size_t nodes, std::uint64_t seed);
+    cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list = false);
 
     base::time_point now() const { return now_; }
     void set_config(config::configuration const& configuration);
@@ -54,6 +54,7 @@
     void withdraw(std::size_t node, base::request_id request);
     void report(std::size_t node, base::request_id request,
                 base::target_id const& target, sched::dispatch_event event);
+    void read_hosts(std::size_t node, std::set<base::target_id> leaving);
     void resubmit(std::size_t node, base::request_id request);
 
     /// Lets everything happen that is due until then.
@@ -78,18 +79,19 @@
     std::size_t datagrams() const { return datagrams_; }
 
 private:
+    struct datagram
+    {
+        daemon_life from_;
+        std::size_t to_ = 0;
+        std::string payload_;
+    };
     struct daemon_node
     {
         daemon_life life_;
         std::unique_ptr<coordinator> coordinator_;
         membership::member_state state_ = membership::member_state::alive;
         bool frozen_ = false;
-    };
-    struct datagram
-    {
-        daemon_life from_;
-        std::size_t to_ = 0;
-        std::string payload_;
+        std::vector<datagram> unread_;
     };
 
     void start(std::size_t node);
@@ -100,6 +102,7 @@
     membership::view members() const;
 
     base::random_source random_;
+    bool has_host_list_;
     base::time_point now_{std::chrono::hours{1}};
     std::vector<daemon_node> nodes_;
     std::uint64_t last_origin_ = 100;
