--- a/tests/config/config_store_test.cpp
+++ b/tests/config/config_store_test.cpp
@@ -2,11 +2,10 @@
 #include "src/platform/etcd_store.hpp"
 #include "tests/config/sample.hpp"
 #include "tests/fakes/fake_key_value.hpp"
+#include "tests/fakes/hooked_store.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <functional>
-
 using namespace tanagerlead;
 using namespace std::chrono_literals;
 using base::config_version;
@@ -17,46 +16,6 @@
 namespace
 {
 
-/// Runs a hook before the compare-and-swap of the head.
-class hooked_store final : public platform::key_value_store
-{
-public:
-    explicit hooked_store(platform::key_value_store& inner) : inner_{inner} {}
-
-    std::function<void()> before_swap_;
-
-    base::result<platform::key_value_entry> get(std::string const& key) override
-    {
-        return inner_.get(key);
-    }
-
-    base::result<std::vector<platform::key_value_entry>>
-    list(std::string const& prefix) override
-    {
-        return inner_.list(prefix);
-    }
-
-    base::result<platform::commit_outcome>
-    commit(std::vector<platform::key_value_write> const& writes) override
-    {
-        if (writes.front().key_ == config::head_key && before_swap_)
-        {
-            std::exchange(before_swap_, nullptr)();
-        }
-        return inner_.commit(writes);
-    }
-
-    std::unique_ptr<platform::key_value_watch> watch(
-        std::string const& key,
-        std::function<void(platform::key_value_entry const&)> changed) override
-    {
-        return inner_.watch(key, std::move(changed));
-    }
-
-private:
-    platform::key_value_store& inner_;
-};
-
 config::patch_request slots_patch(std::uint64_t base, char const* id, int slots)
 {
     return {config_version{base},
@@ -77,7 +36,7 @@
     base::manual_clock clock_;
     fakes::fake_key_value fake_{{"127.0.0.1", 0}, clock_};
     std::unique_ptr<platform::etcd_store> etcd_;
-    std::unique_ptr<hooked_store> hooked_;
+    std::unique_ptr<fakes::hooked_store> hooked_;
     std::unique_ptr<config::config_store> store_;
 
     void setup() override
@@ -87,7 +46,8 @@
         settings.endpoints_ = {fake_.local_address()};
         settings.timeouts_.read_ = 300ms;
         etcd_ = std::make_unique<platform::etcd_store>(settings);
-        hooked_ = std::make_unique<hooked_store>(*etcd_);
+        hooked_ =
+            std::make_unique<fakes::hooked_store>(*etcd_, config::head_key);
         store_ = std::make_unique<config::config_store>(*hooked_);
     }
 
@@ -141,7 +101,7 @@
 {
     accept(first_patch(), 1);
     config::config_store other{*etcd_};
-    hooked_->before_swap_ = [&]
+    hooked_->before_commit_ = [&]
     {
         CHECK(other.submit(slots_patch(1, "other", 20)).value().status_ ==
               submit_status::accepted);
@@ -158,7 +118,7 @@
 TEST(config_store, lost_answers_are_settled)
 {
     accept(first_patch(), 1);
-    hooked_->before_swap_ = [&]
+    hooked_->before_commit_ = [&]
     {
         fake_.set_faults({.lose_answers_ = 1});
     };
@@ -177,7 +137,7 @@
 TEST(config_store, unknown_effect_is_told_and_a_repeat_settles_it)
 {
     accept(first_patch(), 1);
-    hooked_->before_swap_ = [&]
+    hooked_->before_commit_ = [&]
     {
         fake_.set_faults({.lose_answers_ = 1000});
     };
@@ -211,7 +171,7 @@
     };
     for (auto const& fault : cases)
     {
-        hooked_->before_swap_ = [&]
+        hooked_->before_commit_ = [&]
         {
             fake_.set_faults(fault.faults_);
         };
