--- a/tests/http/config_api_test.cpp
+++ b/tests/http/config_api_test.cpp
@@ -1,17 +1,10 @@
-#include "src/config/digest.hpp"
-#include "src/http/config_api.hpp"
-#include "src/http/server.hpp"
-#include "src/kernel/kernel.hpp"
-#include "src/platform/etcd_store.hpp"
 #include "tests/config/sample.hpp"
-#include "tests/fakes/fake_key_value.hpp"
+#include "tests/fakes/config_daemon.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <future>
-
 using namespace tanagerlead;
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -19,9 +12,7 @@
 namespace
 {
 
-constexpr char const* operator_key = "open sesame";
-constexpr std::uint64_t seed = 1;
-constexpr int threads = 4;
+constexpr char const* operator_key = fakes::config_daemon::operator_key;
 
 struct answer
 {
@@ -33,69 +24,27 @@
 
 TEST_GROUP(config_api)
 {
-    base::steady_clock clock_;
-    fakes::fake_key_value fake_{{"127.0.0.1", 0}, clock_};
-    std::unique_ptr<platform::etcd_store> store_;
-    kernel::kernel services_;
-    config::config_service* service_ = nullptr;
-    std::unique_ptr<http::config_api> api_;
-    std::unique_ptr<http::server> server_;
-    std::promise<void> first_version_;
+    fakes::config_daemon daemon_;
 
     void setup() override
     {
-        CHECK(fake_.start().has_value());
-        platform::etcd_settings settings;
-        settings.endpoints_ = {fake_.local_address()};
-        settings.timeouts_.read_ = 300ms;
-        store_ = std::make_unique<platform::etcd_store>(settings);
-        auto service = std::make_unique<config::config_service>(
-            base::daemon_id{"d1"}, *store_, seed);
-        service_ = service.get();
-        services_.add(kernel::control_thread::service_name,
-                      std::make_unique<kernel::control_thread>(clock_));
-        services_.add(config::config_service::service_name, std::move(service));
-        CHECK(services_.start().has_value());
-        service_->subscribe(
-            [this](config::snapshot const& now)
-            {
-                if (now->version_ == base::config_version{1})
-                {
-                    first_version_.set_value();
-                }
-            });
-        serve(config::sha256_hex(operator_key));
+        daemon_.members_ = {
+            {base::daemon_id{"d1"}, base::data_centre_id{"brest"}, "alive",
+             base::config_version{2}},
+            {base::daemon_id{"d2"}, base::data_centre_id{"brest"}, "dead",
+             base::config_version{}}};
+        CHECK(daemon_.start());
     }
 
     void teardown() override
     {
-        server_.reset();
-        services_.stop();
-        fake_.stop();
-    }
-
-    void serve(std::string key_hash)
-    {
-        api_ = std::make_unique<http::config_api>(
-            *service_, http::operator_guard{std::move(key_hash)},
-            []
-            {
-                return std::vector<http::daemon_version>{
-                    {base::daemon_id{"d1"}, base::data_centre_id{"brest"},
-                     "alive", base::config_version{2}},
-                    {base::daemon_id{"d2"}, base::data_centre_id{"brest"},
-                     "dead", base::config_version{}}};
-            });
-        server_ = std::make_unique<http::server>(
-            http::server_settings{{"127.0.0.1", 0}, threads});
-        api_->add_routes(server_->routes());
-        CHECK(server_->start().has_value());
+        daemon_.stop();
     }
 
     answer call(char const* path, std::string const* body = nullptr,
                 char const* key = operator_key)
     {
-        httplib::Client client{"127.0.0.1", server_->local_address().port_};
+        httplib::Client client{"127.0.0.1", daemon_.address().port_};
         httplib::Headers const headers{
             {"Authorization", std::string{"Bearer "} + key}};
         auto const sent = body == nullptr ? client.Get(path, headers)
@@ -123,7 +72,7 @@
     {
         CHECK_EQUAL(200,
                     patch(0, "first", json::parse(sample_document)).status_);
-        first_version_.get_future().wait();
+        daemon_.wait_for_first_version();
     }
 };
 
@@ -193,20 +142,20 @@
 TEST(config_api, only_the_operator_key_passes)
 {
     CHECK_EQUAL(403, call("/operator/v1/config", nullptr, "wrong").status_);
-    httplib::Client client{"127.0.0.1", server_->local_address().port_};
+    httplib::Client client{"127.0.0.1", daemon_.address().port_};
     CHECK_EQUAL(401, client.Get("/operator/v1/config")->status);
-    serve("");
+    CHECK(daemon_.serve(""));
     CHECK_EQUAL(403, call("/operator/v1/config", nullptr, "").status_);
 }
 
 TEST(config_api, an_outage_is_told_with_step_and_peer)
 {
     create_first();
-    fake_.set_faults({.outage_ = fakes::outage::refuse});
+    daemon_.key_value().set_faults({.outage_ = fakes::outage::refuse});
     auto const refused = patch(1, "a", json::object());
     CHECK_EQUAL(503, refused.status_);
     auto const& error = refused.body_.at("error");
-    STRCMP_EQUAL(fake_.local_address().str().c_str(),
+    STRCMP_EQUAL(daemon_.key_value().local_address().str().c_str(),
                  error.at("peer").get<std::string>().c_str());
     CHECK_FALSE(error.at("step").get<std::string>().empty());
     CHECK_EQUAL(200, call("/operator/v1/config").status_);
