Give workspaces and refusals of the scheduler their own classes

Cause: scheduler.cpp had grown to 700 lines and looked up the workspace of a request three times by name. The workspace table keeps its entries in place, so a request holds on to its own; refusals with their advice stand apart.

Also mended: a report about an adopted request could date a cut of the learned limit into the future, as its dispatch time is not known here. The test of prefix affinity passed without affinity; now another request takes the first choice at the first turn, so it fails then.

--- a/src/sched/cell_targets.cpp
+++ b/src/sched/cell_targets.cpp
@@ -211,12 +211,11 @@
 }
 
 void cell_targets::learn(running_request const& run,
-                         dispatch_report const& event)
+                         dispatch_report const& event, base::time_point now)
 {
     auto& target = *run.target_;
     auto const o = observed(run, event);
-    target.limit_->on_finished(sample_of(o, target.speed()),
-                               run.dispatched_ + event.elapsed_);
+    target.limit_->on_finished(sample_of(o, target.speed()), now);
     auto& generation = generations_[target.config_.generation_];
     if (generation.ready())
     {
--- a/src/sched/cell_targets.hpp
+++ b/src/sched/cell_targets.hpp
@@ -36,7 +36,8 @@
     void on_granted(target_state& target, base::time_point now);
     void on_ended(target_state& target, base::time_point now);
     /// Learns from an answer that ended well.
-    void learn(running_request const& run, dispatch_report const& event);
+    void learn(running_request const& run, dispatch_report const& event,
+               base::time_point now);
 
     /// Cost the cell serves a second when it is full; zero when not known yet.
     double service_rate() const { return service_rate_; }
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -14,12 +14,8 @@
 namespace
 {
 
-constexpr base::duration least_retry = 200ms;
-constexpr base::duration longest_retry = 60s;
 /// Seconds advised when no backlog tells how long to wait.
 constexpr double default_retry = 1.0;
-/// Advice varies by this part of itself to both sides.
-constexpr double retry_jitter = 0.25;
 /// How soon a refusal that is not permitted yet is looked at again.
 constexpr base::duration shed_recheck = 100ms;
 constexpr std::size_t most_exported = 256;
@@ -34,43 +30,21 @@
 
 scheduler::scheduler(policy const& parts)
     : parts_{parts}, queue_{parts.make_queue_()}, choice_{parts.make_choice_()},
-      targets_{parts}, random_{0}
+      targets_{parts}
 {
 }
 
 void scheduler::configure(cell_settings const& settings)
 {
-    random_ = base::random_source{settings.seed_};
+    refusals_.set_seed(settings.seed_);
     aside_.release_all();
     targets_.configure(settings);
     admission_.configure(settings);
-    configure_workspaces(settings.workspaces_);
+    queue_->set_weights(workspaces_.configure(settings.workspaces_));
     targets_changed_ = true;
     touched_ = true;
 }
 
-void scheduler::configure_workspaces(
-    std::vector<config::workspace_config> const& workspaces)
-{
-    for (auto& [id, state] : workspaces_)
-    {
-        state.configured_ = false;
-        state.most_waiting_ = 0;
-    }
-    workspace_weights weights;
-    for (auto const& w : workspaces)
-    {
-        auto& state = workspaces_[w.id_];
-        state.configured_ = true;
-        state.most_waiting_ = w.most_waiting_;
-        weights[w.id_] = w.weight_;
-    }
-    absl::erase_if(
-        workspaces_, [](auto const& entry)
-        { return !entry.second.configured_ && entry.second.waiting_ == 0; });
-    queue_->set_weights(std::move(weights));
-}
-
 void scheduler::touch(base::time_point now)
 {
     now_ = std::max(now_, now);
@@ -80,7 +54,7 @@
 bool scheduler::known(base::request_id request) const
 {
     return waiting_.contains(request) || in_flight_.contains(request) ||
-           refused_.contains(request);
+           refusals_.contains(request);
 }
 
 void scheduler::set_expiry(waiting_request& request) const
@@ -105,7 +79,7 @@
 }
 
 std::unique_ptr<waiting_request> scheduler::prepare(work_item const& item,
-                                                    base::time_point now) const
+                                                    base::time_point now)
 {
     auto request = std::make_unique<waiting_request>();
     request->item_ = item;
@@ -114,17 +88,13 @@
     request->expected_output_ = lengths_.expect(item);
     request->cost_ = cost_of(item.prompt_tokens_, request->expected_output_);
     request->enqueued_ = now;
+    request->workspace_ = &workspaces_.of(item.workspace_);
+    // It counts from here, so that the table keeps its workspace.
+    ++request->workspace_->waiting_;
     set_expiry(*request);
     return request;
 }
 
-bool scheduler::over_workspace_limit(base::workspace_id const& workspace) const
-{
-    auto const found = workspaces_.find(workspace);
-    return found != workspaces_.end() && found->second.most_waiting_ > 0 &&
-           found->second.waiting_ >= found->second.most_waiting_;
-}
-
 std::optional<refusal_cause>
 scheduler::why_refuse(waiting_request const& request,
                       base::time_point now) const
@@ -138,7 +108,7 @@
     {
         return refusal_cause::quarantined;
     }
-    if (over_workspace_limit(item.workspace_))
+    if (request.workspace_->over_limit())
     {
         return refusal_cause::workspace_limit;
     }
@@ -162,6 +132,7 @@
     auto request = prepare(item, now);
     if (auto const cause = why_refuse(*request, now))
     {
+        workspaces_.on_gone(*request->workspace_);
         refuse(request->item_, *cause);
     }
     else
@@ -173,7 +144,6 @@
 void scheduler::admit(std::unique_ptr<waiting_request> request)
 {
     auto const id = request->item_.request_;
-    ++workspaces_[request->item_.workspace_].waiting_;
     expiries_.add(request->expires_, id);
     queue_->push(*request);
     waiting_.emplace(id, std::move(request));
@@ -182,13 +152,7 @@
 void scheduler::forget(waiting_request const& request)
 {
     expiries_.remove(request.expires_, request.item_.request_);
-    auto const found = workspaces_.find(request.item_.workspace_);
-    assert(found != workspaces_.end() && found->second.waiting_ > 0);
-    --found->second.waiting_;
-    if (found->second.waiting_ == 0 && !found->second.configured_)
-    {
-        workspaces_.erase(found);
-    }
+    workspaces_.on_gone(*request.workspace_);
 }
 
 std::unique_ptr<waiting_request> scheduler::remove(base::request_id request)
@@ -222,10 +186,9 @@
     {
         end(request);
     }
-    else if (refused_.erase(request) > 0)
+    else
     {
-        std::erase_if(refusals_,
-                      [&](auto const& r) { return r.request_ == request; });
+        refusals_.remove(request);
     }
 }
 
@@ -354,7 +317,7 @@
         run.item_.prompt_tokens_ - event.cached_tokens_, 0);
     queue_->charge(run.item_.workspace_, run.item_.tier_,
                    cost_of(uncached, event.output_tokens_) - run.cost_);
-    targets_.learn(run, event);
+    targets_.learn(run, event, now_);
 }
 
 void scheduler::observe(target_load const& load, base::time_point now)
@@ -428,26 +391,13 @@
                : wait;
 }
 
-base::duration scheduler::retry_after(work_item const& item,
-                                      refusal_cause cause)
-{
-    auto const factor = 1 + retry_jitter * (2 * random_.uniform() - 1);
-    auto const advice = base::from_seconds(retry_seconds(item, cause) * factor);
-    auto const longest = cause == refusal_cause::quarantined
-                             ? 2 * quarantine::quarantine_time
-                             : longest_retry;
-    return std::clamp(advice, least_retry, longest);
-}
-
 void scheduler::refuse(work_item const& item, refusal_cause cause)
 {
     if (parts_.protects_ && cause == refusal_cause::overloaded)
     {
         admission_.gate().on_shed(item.tier_, now_);
     }
-    refused_.insert(item.request_);
-    refusals_.push_back(
-        {item.request_, item.entry_, cause, retry_after(item, cause)});
+    refusals_.add(item, cause, retry_seconds(item, cause));
 }
 
 void scheduler::refuse_waiting(base::request_id request, refusal_cause cause)
@@ -671,9 +621,7 @@
     refuse_unserved();
     shed();
     dispatch(out);
-    out.insert(out.end(), refusals_.begin(), refusals_.end());
-    refusals_.clear();
-    refused_.clear();
+    refusals_.flush(out);
     touched_ = false;
 }
 
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
-#include "src/base/random.hpp"
 #include "src/sched/admission.hpp"
 #include "src/sched/aside_list.hpp"
 #include "src/sched/cell_targets.hpp"
 #include "src/sched/expiry_queue.hpp"
 #include "src/sched/length_estimator.hpp"
 #include "src/sched/quarantine.hpp"
+#include "src/sched/refusal_box.hpp"
 #include "src/sched/running_request.hpp"
+#include "src/sched/workspace_table.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -45,22 +46,11 @@
     std::size_t in_flight() const override { return in_flight_.size(); }
 
 private:
-    struct workspace_state
-    {
-        std::int64_t most_waiting_ = 0;
-        std::int64_t waiting_ = 0;
-        bool configured_ = false;
-    };
-
     void touch(base::time_point now);
     bool known(base::request_id request) const;
-    void configure_workspaces(
-        std::vector<config::workspace_config> const& workspaces);
-
     std::unique_ptr<waiting_request> prepare(work_item const& item,
-                                             base::time_point now) const;
+                                             base::time_point now);
     void set_expiry(waiting_request& request) const;
-    bool over_workspace_limit(base::workspace_id const& workspace) const;
     std::optional<refusal_cause> why_refuse(waiting_request const& request,
                                             base::time_point now) const;
     void admit(std::unique_ptr<waiting_request> request);
@@ -70,7 +60,6 @@
 
     void refuse(work_item const& item, refusal_cause cause);
     void refuse_waiting(base::request_id request, refusal_cause cause);
-    base::duration retry_after(work_item const& item, refusal_cause cause);
     double retry_seconds(work_item const& item, refusal_cause cause) const;
 
     void expire();
@@ -102,16 +91,14 @@
     quarantine quarantine_;
     aside_list aside_;
     expiry_queue expiries_;
-    base::random_source random_;
+    workspace_table workspaces_;
+    refusal_box refusals_;
 
-    absl::flat_hash_map<base::workspace_id, workspace_state> workspaces_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_request>>
         waiting_;
     absl::flat_hash_map<base::request_id, running_request> in_flight_;
     /// Suspects in flight by fingerprint.
     absl::flat_hash_set<std::uint64_t> running_suspects_;
-    std::vector<refusal> refusals_;
-    absl::flat_hash_set<base::request_id> refused_;
     std::vector<target_state*> apart_;
 
     base::tier lowest_permitted_{base::max_tiers - 1};
--- a/src/sched/waiting_request.hpp
+++ b/src/sched/waiting_request.hpp
@@ -8,6 +8,7 @@
 {
 
 struct waiting_request;
+struct workspace_state;
 
 /// Requests of one workspace in one tier, and what it may still spend.
 struct flow
@@ -28,6 +29,7 @@
 struct waiting_request
 {
     work_item item_;
+    workspace_state* workspace_ = nullptr;
     base::token_count expected_output_ = 0;
     /// Output-token equivalents.
     double cost_ = 1;
--- a/tests/sched/policy_test.cpp
+++ b/tests/sched/policy_test.cpp
@@ -182,6 +182,8 @@
 {
     virtual_cell cell{"tanagerlead", testing::cell(4, 2)};
     std::set<std::string> used;
+    // Makes the first turn go to another target than an idle cell's first.
+    cell.arrive(item(100, "b", 0, at(10s - 100ms)), 50);
     for (int turn = 1; turn <= 10; ++turn)
     {
         auto i = item(turn, "a", 0, at(10s * turn));
