Say on every call to a service whether it may be repeated

The daemon takes a POST to a plain service as one not to be repeated unless the caller says otherwise, and refuses it without a key. Ruled out: PUT for calls that may be repeated, since services are rarely so strict about methods.

--- a/tools/load/caller.cpp
+++ b/tools/load/caller.cpp
@@ -153,11 +153,14 @@
 
     void add_promises(httplib::Request& out) const
     {
-        if (!request_.idempotency_key_.empty())
+        auto const once = !request_.idempotency_key_.empty();
+        if (once)
         {
             out.headers.emplace("Idempotency-Key", request_.idempotency_key_);
-            out.headers.emplace("X-Non-Idempotent", "true");
         }
+        // A call to a service counts as one not to be repeated unless it says
+        // otherwise.
+        out.headers.emplace("X-Non-Idempotent", once ? "true" : "false");
         if (workspace_.deadline_ > base::duration::zero())
         {
             auto const left =
