Prove promises on real processes; claim deposits

Cause: the daemon refused every non-idempotent request for want of a claim store, and nothing yet showed the promises with kills, freezes and outages. Conclusion: test-only programs start others; the product starts none.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,9 +8,11 @@
 #include "src/daemon/http_service.hpp"
 #include "src/daemon/peer_copies.hpp"
 #include "src/http/config_api.hpp"
+#include "src/http/target_probe.hpp"
 #include "src/kernel/kernel.hpp"
 #include "src/platform/etcd_store.hpp"
 #include "src/platform/http_host_list.hpp"
+#include "src/request/kv_claim_store.hpp"
 #include "src/sched/cell_scheduler.hpp"
 
 #include <sys/socket.h>
@@ -29,17 +31,6 @@
     return instance;
 }
 
-/// Refuses every non-idempotent request: nothing could be claimed.
-class no_claims final : public request::claim_store
-{
-public:
-    base::result<request::claim> acquire(request::claim const&) override
-    {
-        return base::fail(base::error_code::unavailable, "acquire claim", {},
-                          "no claim store");
-    }
-};
-
 /// UDP and TCP sockets with one port number.
 struct peer_sockets
 {
@@ -73,14 +64,17 @@
                       wanted.str(), "no port free for both UDP and TCP");
 }
 
+std::chrono::milliseconds milliseconds_since_epoch()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 base::incarnation first_incarnation()
 {
     // Later lives of a daemon must have larger numbers, and nothing is kept.
-    auto const since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    auto const us =
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch);
-    return base::incarnation{static_cast<std::uint64_t>(us.count())};
+    auto const ms = milliseconds_since_epoch().count();
+    return base::incarnation{static_cast<std::uint64_t>(ms)};
 }
 
 } // namespace
@@ -109,7 +103,7 @@
     membership::member self_;
     base::steady_clock clock_;
     platform::etcd_store store_;
-    no_claims claims_;
+    request::kv_claim_store claims_;
     std::unique_ptr<http::server> server_;
     peer_sockets sockets_;
     std::unique_ptr<platform::host_list> host_list_;
@@ -119,7 +113,8 @@
 
 daemon::impl::impl(config::settings settings)
     : settings_{std::move(settings)}, store_{platform::etcd_settings{
-                                          settings_.key_value_, {}}}
+                                          settings_.key_value_, {}}},
+      claims_{store_, clock_, milliseconds_since_epoch}
 {
     self_.daemon_ = settings_.daemon_;
     self_.host_ = settings_.host_;
@@ -203,6 +198,10 @@
     {
         return sched::make_scheduler(policy);
     };
+    chosen.read_load_ = [](config::target_config const& target)
+    {
+        return http::read_load(target);
+    };
     if (host_list_)
     {
         chosen.read_hosts_ = [this]
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,122 @@
+#include "tests/process/child_process.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+namespace tanagerlead::process
+{
+
+namespace
+{
+
+base::address read_address(nlohmann::json const& line, char const* name)
+{
+    auto const member = line.find(name);
+    if (member == line.end())
+    {
+        return {};
+    }
+    return base::parse_address(member->get<std::string>()).value();
+}
+
+std::string read_line(int descriptor)
+{
+    std::string line;
+    char c = 0;
+    while (::read(descriptor, &c, 1) == 1 && c != '\n')
+    {
+        line += c;
+    }
+    return line;
+}
+
+} // namespace
+
+child_process::child_process(std::string const& program,
+                             std::vector<std::string> const& arguments)
+{
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0)
+    {
+        return;
+    }
+    std::vector<char*> argv{const_cast<char*>(program.c_str())};
+    for (auto const& argument : arguments)
+    {
+        argv.push_back(const_cast<char*>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (std::getenv("TANAGERLEAD_TEST_LOGS") == nullptr)
+    {
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null",
+                                         O_WRONLY, 0);
+    }
+    auto const failed = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                      argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(ends[1]);
+    if (failed == 0)
+    {
+        read_ready_line(ends[0]);
+    }
+    else
+    {
+        pid_ = -1;
+    }
+    ::close(ends[0]);
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : pid_{std::exchange(other.pid_, -1)}, http_{std::move(other.http_)},
+      peer_{std::move(other.peer_)}, control_{std::move(other.control_)}
+{
+}
+
+child_process::~child_process()
+{
+    if (pid_ > 0)
+    {
+        ::kill(pid_, SIGKILL);
+        wait();
+    }
+}
+
+void child_process::signal(int number) const
+{
+    if (pid_ > 0)
+    {
+        ::kill(pid_, number);
+    }
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    ::waitpid(std::exchange(pid_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void child_process::read_ready_line(int descriptor)
+{
+    auto const line =
+        nlohmann::json::parse(read_line(descriptor), nullptr, false);
+    if (line.is_discarded())
+    {
+        return;
+    }
+    http_ = read_address(line, "http");
+    peer_ = read_address(line, "peer");
+    control_ = read_address(line, "control");
+}
+
+} // namespace tanagerlead::process
