Measure the path by what the engine itself took

A new arrival waits for the engine's running step, up to 77 ms, so medians of direct and relayed calls differ by more than the path adds.

--- a/bench/bench_rows.cpp
+++ b/bench/bench_rows.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <string>
@@ -76,8 +77,7 @@
     {
         return "-";
     }
-    return std::to_string(
-        static_cast<int>(100.0 * number(one, "/goodput_part") + 0.5));
+    return std::to_string(std::lround(100.0 * number(one, "/goodput_part")));
 }
 
 std::string ratio(double value, double against)
--- a/tests/fakes/engine_model.cpp
+++ b/tests/fakes/engine_model.cpp
@@ -36,6 +36,7 @@
                                                    base::time_point now)
 {
     auto const number = sequences_.size();
+    arrived.arrived_ = now;
     arrived.output_tokens_ =
         std::max<base::token_count>(arrived.output_tokens_, 1);
     sequences_.push_back(std::move(arrived));
@@ -196,6 +197,7 @@
 {
     cache_.insert(item.prompt_.chain_.blocks());
     item.state_ = sequence_state::decoding;
+    item.first_token_ = step_end_ - item.arrived_;
     generate(item);
 }
 
--- a/tests/fakes/engine_model.hpp
+++ b/tests/fakes/engine_model.hpp
@@ -51,6 +51,9 @@
     base::token_count cached_tokens_ = 0;
     base::token_count prefilled_tokens_ = 0;
     base::token_count generated_tokens_ = 0;
+    base::time_point arrived_;
+    /// From the arrival; zero until then.
+    base::duration first_token_{};
     /// The process ends when this one's prefill is done.
     bool crashes_ = false;
 
--- a/tests/fakes/engine_server.cpp
+++ b/tests/fakes/engine_server.cpp
@@ -50,7 +50,8 @@
             {"prompt_tokens", item.prompt_.tokens_},
             {"prefilled_tokens", item.prefilled_tokens_},
             {"cached_tokens", item.cached_tokens_},
-            {"generated_tokens", item.generated_tokens_}};
+            {"generated_tokens", item.generated_tokens_},
+            {"first_token_ms", base::milliseconds(item.first_token_)}};
 }
 
 } // namespace
--- a/tools/lib/processes.sh
+++ b/tools/lib/processes.sh
@@ -8,7 +8,10 @@
 start() {
     local name=$1
     shift
-    "$@" >"$run_dir/$name.out" 2>"$run_dir/$name.log" &
+    # Emptied here: the background shell may do it after the first look for a
+    # ready line, which would then find that of an earlier program of the name.
+    : >"$run_dir/$name.out"
+    "$@" >>"$run_dir/$name.out" 2>"$run_dir/$name.log" &
     process_ids[$name]=$!
 }
 
--- a/tools/load/caller.cpp
+++ b/tools/load/caller.cpp
@@ -1,5 +1,6 @@
 #include "tools/load/caller.hpp"
 
+#include "src/base/random.hpp"
 #include "tools/load/event_reader.hpp"
 
 #include <httplib.h>
@@ -136,6 +137,10 @@
             out.body = model_body(request_, workspace_);
             out.headers.emplace("Content-Type", "application/json");
         }
+        if (owner_.direct_)
+        {
+            out.headers.emplace("X-Request-Id", direct_id());
+        }
         add_promises(out);
         out.response_handler = [this](httplib::Response const& head)
         {
@@ -151,6 +156,11 @@
         return out;
     }
 
+    std::string direct_id() const
+    {
+        return owner_.direct_prefix_ + std::to_string(request_.number_);
+    }
+
     void add_promises(httplib::Request& out) const
     {
         auto const once = !request_.idempotency_key_.empty();
@@ -174,7 +184,9 @@
     void read_head(httplib::Response const& head)
     {
         status_ = head.status;
-        result_.id_ = head.get_header_value("X-Tanagerlead-Request");
+        result_.id_ = owner_.direct_
+                          ? direct_id()
+                          : head.get_header_value("X-Tanagerlead-Request");
         outcome_ = head.get_header_value("X-Tanagerlead-Outcome");
         result_.cause_ = head.get_header_value("X-Tanagerlead-Cause");
         auto const type = head.get_header_value("Content-Type");
@@ -304,7 +316,8 @@
 };
 
 caller::caller(scenario const& from, entry_cache& entries, bool direct)
-    : scenario_{from}, entries_{entries}, direct_{direct}
+    : scenario_{from}, entries_{entries}, direct_{direct},
+      direct_prefix_{std::to_string(base::entropy()) + '-'}
 {
 }
 
--- a/tools/load/caller.hpp
+++ b/tools/load/caller.hpp
@@ -26,6 +26,8 @@
     entry_cache& entries_;
     bool direct_;
     base::steady_clock clock_;
+    /// Begins the ids of requests that go past the daemons.
+    std::string direct_prefix_;
 };
 
 } // namespace tanagerlead::load
--- a/tools/load/engine_logs.cpp
+++ b/tools/load/engine_logs.cpp
@@ -32,7 +32,13 @@
     std::map<std::string, int> here;
     for (auto const& one : json["requests"])
     {
-        here[one["id"].get<std::string>()] = one["count"].get<int>();
+        auto const id = one["id"].get<std::string>();
+        here[id] = one["count"].get<int>();
+        if (one.contains("first_token_ms"))
+        {
+            auto const ms = one["first_token_ms"].get<double>();
+            logs.first_tokens_[id] = base::from_seconds(ms / 1e3);
+        }
     }
     for (auto const& [id, count] : here)
     {
--- a/tools/load/engine_logs.hpp
+++ b/tools/load/engine_logs.hpp
@@ -17,6 +17,8 @@
     base::token_count prefilled_tokens_ = 0;
     /// Dispatches by request id.
     std::map<std::string, int> dispatches_;
+    /// From arrival at the engine to the first token, by request id.
+    std::map<std::string, base::duration> first_tokens_;
     /// Fakes that gave no log.
     int missing_ = 0;
 };
--- a/tools/load/plan.cpp
+++ b/tools/load/plan.cpp
@@ -154,6 +154,10 @@
     std::stable_sort(plan.begin(), plan.end(),
                      [](planned_request const& a, planned_request const& b)
                      { return a.at_ < b.at_; });
+    for (std::size_t i = 0; i < plan.size(); ++i)
+    {
+        plan[i].number_ = i;
+    }
     return plan;
 }
 
--- a/tools/load/plan.hpp
+++ b/tools/load/plan.hpp
@@ -21,6 +21,8 @@
 {
     /// After the start of the run.
     base::duration at_{};
+    /// Position in the plan.
+    std::size_t number_ = 0;
     /// Index into `scenario::workspaces_`.
     std::size_t workspace_ = 0;
     std::vector<message> messages_;
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -145,6 +145,23 @@
     print_counts(to, "failed", one.failed_);
 }
 
+void add_path_times(load_report& report,
+                    std::vector<request_result> const& results,
+                    engine_logs const& after)
+{
+    for (auto const& one : results)
+    {
+        auto const inside = after.first_tokens_.find(one.id_);
+        if (one.kind_ == result_kind::complete &&
+            inside != after.first_tokens_.end())
+        {
+            report.path_times_.push_back(one.first_token_ - one.late_ -
+                                         inside->second);
+        }
+    }
+    std::sort(report.path_times_.begin(), report.path_times_.end());
+}
+
 void check_dispatches(load_report& report,
                       std::vector<request_result> const& results,
                       engine_logs const& after)
@@ -207,6 +224,7 @@
     report.needed_tokens_ = needed_prefill(plan, results, from);
     report.missing_logs_ = after.missing_;
     check_dispatches(report, results, after);
+    add_path_times(report, results, after);
     return report;
 }
 
@@ -235,21 +253,29 @@
           static_cast<long long>(report.doubled_),
           static_cast<long long>(report.false_refusals_), report.missing_logs_,
           base::milliseconds(report.latest_start_));
+    print(text,
+          "path and queues outside the engine: p50 %.2f ms, p99 %.2f ms\n",
+          base::milliseconds(percentile(report.path_times_, 0.5)),
+          base::milliseconds(percentile(report.path_times_, 0.99)));
     return text;
 }
 
 std::string to_json(load_report const& report)
 {
-    json out{{"length_s", base::seconds(report.length_)},
-             {"prefilled_tokens", report.prefilled_tokens_},
-             {"needed_tokens", report.needed_tokens_},
-             {"wasted_tokens", report.wasted_tokens()},
-             {"doubled", report.doubled_},
-             {"false_refusals", report.false_refusals_},
-             {"missing_logs", report.missing_logs_},
-             {"latest_start_ms", base::milliseconds(report.latest_start_)},
-             {"tiers", json::array()},
-             {"workspaces", json::array()}};
+    json out{
+        {"length_s", base::seconds(report.length_)},
+        {"prefilled_tokens", report.prefilled_tokens_},
+        {"needed_tokens", report.needed_tokens_},
+        {"wasted_tokens", report.wasted_tokens()},
+        {"doubled", report.doubled_},
+        {"false_refusals", report.false_refusals_},
+        {"missing_logs", report.missing_logs_},
+        {"latest_start_ms", base::milliseconds(report.latest_start_)},
+        {"path_ms",
+         {{"p50", base::milliseconds(percentile(report.path_times_, 0.5))},
+          {"p99", base::milliseconds(percentile(report.path_times_, 0.99))}}},
+        {"tiers", json::array()},
+        {"workspaces", json::array()}};
     for (auto const& one : report.tiers_)
     {
         out["tiers"].push_back(to_json(one, report.length_));
--- a/tools/load/report.hpp
+++ b/tools/load/report.hpp
@@ -44,6 +44,8 @@
     /// Requests answered `not_run` that a target's log holds.
     std::int64_t false_refusals_ = 0;
     int missing_logs_ = 0;
+    /// First token at the caller less first token inside the engine, sorted.
+    std::vector<base::duration> path_times_;
     /// Latest start after its planned arrival.
     base::duration latest_start_{};
 
