--- a/src/http/caller_stream.cpp
+++ b/src/http/caller_stream.cpp
@@ -80,13 +80,15 @@
 
 bool caller_stream::fill()
 {
-    if (!wait_for(socket_, POLLIN, left_for_request()))
+    broken_ = !wait_for(socket_, POLLIN, left_for_request());
+    if (broken_)
     {
         return false;
     }
     std::array<char, read_chunk_bytes> chunk;
     auto const got = ::recv(socket_, chunk.data(), chunk.size(), 0);
-    if (got <= 0)
+    broken_ = got <= 0;
+    if (broken_)
     {
         return false;
     }
--- a/src/http/caller_stream.hpp
+++ b/src/http/caller_stream.hpp
@@ -39,6 +39,8 @@
                           std::atomic<socket_t> const& server_socket) const;
     head_state read_head();
     bool peer_is_gone() const;
+    /// A read failed: where the next request begins is not known.
+    bool broken() const { return broken_; }
 
     bool is_readable() const override;
     bool is_writable() const override;
@@ -57,6 +59,7 @@
     /// Received and not yet read by the library.
     std::string pending_;
     std::chrono::steady_clock::time_point request_began_;
+    bool broken_ = false;
 };
 
 } // namespace tanagerlead::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -140,7 +140,8 @@
             break;
         }
         bool closed = false;
-        return process_request(stream, last, closed, nullptr) && !closed;
+        return process_request(stream, last, closed, nullptr) && !closed &&
+               !stream.broken();
     }
 
     server_settings const& settings_;
