Give a waiting place to a higher tier when calls are at their limit

A stream holds a thread, so a burst past the thread limit waited in the server's queue: refusals were held back, and the lowest tier in front of the highest. Past a limit below the threads the newest waiting request of the lowest tier is refused for a higher one now, or the newcomer when none is lower. More threads were ruled out: they move the limit and keep its order blind.

--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -36,8 +36,6 @@
 
 /// Between looks at whether a waiting caller is still there.
 constexpr base::duration hang_up_poll = std::chrono::milliseconds{100};
-/// After which a caller may try a daemon that is stopping again.
-constexpr base::duration draining_retry = std::chrono::seconds{1};
 /// A call of a plain service counts as so many tokens.
 constexpr base::token_count service_call_tokens = 1;
 
@@ -134,8 +132,8 @@
     std::optional<base::duration> grace_of(draft const& what,
                                            caller_options const& options) const;
     void submit(std::shared_ptr<runnable> const& work);
-    void deliver(request::record_ptr const& record, std::uint64_t last_event,
-                 response_t& response);
+    void deliver(std::shared_ptr<reading> const& reader,
+                 std::uint64_t last_event, response_t& response);
     std::shared_ptr<reading> read(request::record_ptr const& record);
     std::vector<request::entry_address>
     other_entries(request::request_identity const& identity) const;
@@ -463,14 +461,19 @@
                      "the key was used for another request", response);
         return;
     }
-    deliver(record, options.last_event_, response);
+    else
+    {
+        reader = read(record);
+    }
+    deliver(reader, options.last_event_, response);
 }
 
 void caller_api::impl::submit(std::shared_ptr<runnable> const& work)
 {
     if (draining_ || !use_.entries_.accepts_work())
     {
-        runner_.refuse(work, sched::refusal_cause::draining, draining_retry);
+        runner_.refuse(work, sched::refusal_cause::draining,
+                       runner_.usual_retry());
         return;
     }
     if (work->item_.deadline_ <= use_.clock_.now())
@@ -478,6 +481,13 @@
         runner_.refuse(work, sched::refusal_cause::deadline, {});
         return;
     }
+    if (readers_ > settings_.most_open_calls_ &&
+        !runner_.make_room_for(work->item_.tier_))
+    {
+        runner_.refuse(work, sched::refusal_cause::overloaded,
+                       runner_.usual_retry());
+        return;
+    }
     runner_.start(work);
 }
 
@@ -493,11 +503,11 @@
                                      });
 }
 
-void caller_api::impl::deliver(request::record_ptr const& record,
+void caller_api::impl::deliver(std::shared_ptr<reading> const& reader,
                                std::uint64_t last_event, response_t& response)
 {
-    auto const reader = read(record);
-    auto const& answer = record->answer();
+    auto const& record = reader->record();
+    auto const& answer = record.answer();
     while (!answer.wait_for_head(hang_up_poll))
     {
         if (server::caller_is_gone())
@@ -521,10 +531,10 @@
     auto const end = *answer.end();
     if (end.outcome_ == request::outcome::complete)
     {
-        write_content(*record, response);
+        write_content(record, response);
         return;
     }
-    write_end(record->identity(), end, other_entries(record->identity()),
+    write_end(record.identity(), end, other_entries(record.identity()),
               response);
 }
 
@@ -559,7 +569,7 @@
                      "this daemon holds no such request", response);
         return;
     }
-    deliver(record, options.value().last_event_, response);
+    deliver(read(record), options.value().last_event_, response);
 }
 
 bool caller_api::impl::wait_until_idle(base::duration longest)
--- a/src/http/caller_api.hpp
+++ b/src/http/caller_api.hpp
@@ -38,6 +38,9 @@
     base::duration resume_grace_ = std::chrono::seconds{10};
     /// Grants in vain before a request is given up.
     int most_connect_tries_ = 4;
+    /// Calls served at one time; past it the lowest tier is refused. Less than
+    /// the server's threads, so that a refusal still finds one.
+    int most_open_calls_ = 960;
     /// Keys with the own prefix remembered without the claim store.
     std::size_t most_issued_keys_ = 200'000;
     /// Workspaces with series of their own in `/metrics`.
--- a/src/http/request_runner.cpp
+++ b/src/http/request_runner.cpp
@@ -4,6 +4,10 @@
 #include "src/http/refusal.hpp"
 #include "src/request/issued_key.hpp"
 
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
 namespace tanagerlead::http
 {
 
@@ -13,8 +17,7 @@
 constexpr int conflict = 409;
 constexpr int unprocessable = 422;
 constexpr std::size_t most_target_threads = 4096;
-/// Typical wait before another try, where no backlog tells a better one.
-constexpr base::duration usual_retry = std::chrono::seconds{1};
+constexpr base::duration typical_retry = std::chrono::seconds{1};
 
 request::answer_end key_reused()
 {
@@ -210,7 +213,48 @@
         return;
     }
     record.end_if_waiting(
-        refused(sched::refusal_cause::no_target, advice_.around(usual_retry)));
+        refused(sched::refusal_cause::no_target, usual_retry()));
+}
+
+base::duration request_runner::usual_retry()
+{
+    return advice_.around(typical_retry);
+}
+
+bool request_runner::refuse_waiting(std::shared_ptr<runnable> const& work,
+                                    sched::refusal_cause cause)
+{
+    if (!work->job_.record_->end_if_waiting(refused(cause, usual_retry())))
+    {
+        return false;
+    }
+    use_.dispatcher_.withdraw(work->item_.request_);
+    return true;
+}
+
+bool request_runner::make_room_for(base::tier tier)
+{
+    std::vector<std::shared_ptr<runnable>> lower;
+    {
+        std::lock_guard const lock{mutex_};
+        for (auto const& [id, work] : live_)
+        {
+            if (work->item_.tier_ > tier)
+            {
+                lower.push_back(work);
+            }
+        }
+    }
+    std::sort(lower.begin(), lower.end(),
+              [](auto const& a, auto const& b)
+              {
+                  return std::tie(a->item_.tier_, a->item_.received_) >
+                         std::tie(b->item_.tier_, b->item_.received_);
+              });
+    return std::any_of(
+        lower.begin(), lower.end(),
+        [this](auto const& work)
+        { return refuse_waiting(work, sched::refusal_cause::overloaded); });
 }
 
 void request_runner::reader_left(request::record_ptr const& record)
@@ -255,11 +299,7 @@
     }
     for (auto const& [id, work] : left)
     {
-        auto& record = *work->job_.record_;
-        if (record.end_if_waiting(refused(sched::refusal_cause::draining, {})))
-        {
-            use_.dispatcher_.withdraw(id);
-        }
+        refuse_waiting(work, sched::refusal_cause::draining);
     }
     workers_.stop();
 }
@@ -312,8 +352,8 @@
         // The claim may have been written; nobody else will run it then.
         work.right_ = run_right::claim;
         work.claim_holder_ = identity.id_;
-        auto end = refused(sched::refusal_cause::store_unavailable,
-                           advice_.around(usual_retry));
+        auto end =
+            refused(sched::refusal_cause::store_unavailable, usual_retry());
         end.error_ = held.error();
         return deny(work, std::move(end));
     }
--- a/src/http/request_runner.hpp
+++ b/src/http/request_runner.hpp
@@ -54,6 +54,12 @@
     void refuse(std::shared_ptr<runnable> const& work,
                 sched::refusal_cause cause, base::duration retry_after);
 
+    /// Refuses one waiting request of the lowest tier after `tier`, the
+    /// newest first. False when none waits.
+    bool make_room_for(base::tier tier);
+    /// Jittered wait before another try, where no backlog tells a better one.
+    base::duration usual_retry();
+
     /// A caller stopped reading.
     void reader_left(request::record_ptr const& record);
 
@@ -82,6 +88,8 @@
                  request::decision const& decision);
     void run_granted(std::shared_ptr<runnable> const& work,
                      request::dispatch_to const& to);
+    bool refuse_waiting(std::shared_ptr<runnable> const& work,
+                        sched::refusal_cause cause);
     void not_sent(std::shared_ptr<runnable> const& work);
     /// Has the daemon that may run the request answer it.
     void ask_holder(std::shared_ptr<runnable> const& work,
--- a/tests/http/life_test.cpp
+++ b/tests/http/life_test.cpp
@@ -273,3 +273,40 @@
     STRCMP_EQUAL("posted", repeat->body.c_str());
     CHECK_EQUAL(1, fixture_.target_.count("POST"));
 }
+
+TEST_GROUP(crowded)
+{
+    /// Room for one caller.
+    static http::caller_api_settings settings()
+    {
+        auto result = api_fixture::quick_settings();
+        result.most_open_calls_ = 1;
+        return result;
+    }
+
+    api_fixture fixture_{settings()};
+
+    void check_refused(std::string const& answer)
+    {
+        CHECK(answer.find("HTTP/1.1 429") == 0);
+        CHECK(answer.find("X-Tanagerlead-Cause: overloaded") !=
+              std::string::npos);
+        CHECK(answer.find("X-Retry-After-Ms: ") != std::string::npos);
+    }
+};
+
+TEST(crowded, higher_tier_takes_the_place_of_a_waiting_lower_one)
+{
+    fixture_.dispatcher_.hold();
+    raw_caller lower{fixture_.server_.local_address()};
+    lower.post(chat_path, dakar_key, chat_body);
+    CHECK(fixture_.dispatcher_.wait_for("submit"));
+    raw_caller higher{fixture_.server_.local_address()};
+    higher.post(chat_path, brest_key, chat_body);
+    check_refused(lower.read_until("\"not_run\"}"));
+    CHECK(fixture_.dispatcher_.wait_for("submit", 2));
+    raw_caller late{fixture_.server_.local_address()};
+    late.post(chat_path, dakar_key, chat_body);
+    check_refused(late.read_until("\"not_run\"}"));
+    STRCMP_EQUAL("submit withdraw submit", fixture_.dispatcher_.log().c_str());
+}
