Stop an exchange with a target without the client library's lock

Stopping a run took the library's lock after the run's own, while connecting took them the other way round, and a run that was already to stop when its connection opened called the library under the lock it held and hung for ever. The thread sanitizer showed the order; a new test of a listener that stops as it connects hung before (ended by timeout 10) and passes after. Posting the stop to another thread was ruled out, since the exchange may be over by then. A duplicate of the socket, owned by the client, is shut down instead.

--- a/src/http/target_connection.cpp
+++ b/src/http/target_connection.cpp
@@ -3,9 +3,10 @@
 #include "src/http/header_names.hpp"
 
 #include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
-#include <array>
-#include <atomic>
+#include <mutex>
 
 namespace tanagerlead::http
 {
@@ -24,14 +25,35 @@
     {
     }
 
+    ~target_http_client() override
+    {
+        if (duplicate_ >= 0)
+        {
+            ::close(duplicate_);
+        }
+    }
+
+    target_http_client(target_http_client const&) = delete;
+    target_http_client& operator=(target_http_client const&) = delete;
+
+    // The library's own `stop` takes the lock under which it connects, and so
+    // could not be called by a listener.
     void stop() override
     {
+        std::lock_guard const lock{mutex_};
         stopped_ = true;
-        ClientImpl::stop();
+        if (duplicate_ >= 0)
+        {
+            ::shutdown(duplicate_, SHUT_RDWR);
+        }
     }
 
     bool connected() const { return connected_; }
-    bool stopped() const { return stopped_; }
+    bool stopped() const
+    {
+        std::lock_guard const lock{mutex_};
+        return stopped_;
+    }
 
 private:
     // NOLINTNEXTLINE(readability-identifier-naming)
@@ -43,13 +65,20 @@
             return false;
         }
         connected_ = true;
+        {
+            std::lock_guard const lock{mutex_};
+            duplicate_ = ::dup(socket.sock);
+        }
         listener_.on_connected(*this);
         return true;
     }
 
     target_listener& listener_;
     bool connected_ = false;
-    std::atomic<bool> stopped_{false};
+    mutable std::mutex mutex_;
+    bool stopped_ = false;
+    /// Of the socket, which the library may close at any time.
+    int duplicate_ = -1;
 };
 
 httplib::Request make_request(target_call const& call)
--- a/tests/http/life_test.cpp
+++ b/tests/http/life_test.cpp
@@ -310,3 +310,29 @@
     check_refused(late.read_until("\"not_run\"}"));
     STRCMP_EQUAL("submit withdraw submit", fixture_.dispatcher_.log().c_str());
 }
+
+TEST_GROUP(target_stop){};
+
+TEST(target_stop, listener_may_stop_an_exchange_as_it_connects)
+{
+    struct stops_at_once final : http::target_listener
+    {
+        void on_connected(http::exchange_stopper& stopper) override
+        {
+            stopper.stop();
+        }
+        bool on_head(http::target_head const& /*head*/) override
+        {
+            return true;
+        }
+        bool on_bytes(std::string_view /*bytes*/) override { return true; }
+    };
+    scripted_target target;
+    target.on("GET", answers(200, "{}"));
+    target.start();
+    http::http_target_connection connection;
+    stops_at_once listener;
+    auto const end = connection.exchange(
+        target.address(), {"GET", "/", {}, {}, {}}, {}, listener);
+    CHECK(end == http::exchange_end::stopped);
+}
