--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -35,7 +35,7 @@
 };
 
 /// Between looks at whether a waiting caller is still there.
-constexpr base::duration hang_up_poll = std::chrono::milliseconds{100};
+constexpr base::duration hang_up_poll = std::chrono::milliseconds{250};
 /// A call of a plain service counts as so many tokens.
 constexpr base::token_count service_call_tokens = 1;
 
--- a/src/http/usage.cpp
+++ b/src/http/usage.cpp
@@ -8,12 +8,18 @@
 namespace
 {
 
+/// Larger counts are taken for nonsense.
+constexpr std::uint64_t most_tokens = 1'000'000'000;
+
 base::token_count count(nlohmann::json const& object, char const* name)
 {
     auto const found = object.find(name);
-    return found != object.end() && found->is_number_unsigned()
-               ? found->get<base::token_count>()
-               : 0;
+    if (found == object.end() || !found->is_number_unsigned())
+    {
+        return 0;
+    }
+    auto const value = found->get<std::uint64_t>();
+    return value <= most_tokens ? static_cast<base::token_count>(value) : 0;
 }
 
 } // namespace
