Keep threads at their prefixes; cap the learned limit at the slots

The limit had grown beyond the slots, so requests queued inside the engines; the prefix index learned too slowly how little the engines keep; and the decode speed of newer engines drew threads away from their prefixes.

Ruled out as the cause: cut prefixes in messages, which take 48 blocks where these threads have about 40.

--- a/src/sched/adaptive_limit.cpp
+++ b/src/sched/adaptive_limit.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-/// Largest limit as a multiple of the slots.
-constexpr double most_growth = 4;
 /// What is left of the limit after congestion.
 constexpr double cut = 0.85;
 /// A first token is late after this multiple of the expected time plus slack.
@@ -30,6 +28,8 @@
     return std::max(1, static_cast<int>(std::floor(limit_)));
 }
 
+// Beyond its slots a target queues requests where no tier counts, and one more
+// than it runs delays a first token by a whole answer, so slots are the cap.
 void adaptive_limit::set_slots(int slots)
 {
     if (slots != slots_)
@@ -72,7 +72,7 @@
     }
     if (!before_cut && sample.outstanding_ >= limit())
     {
-        limit_ = std::min(limit_ + 1 / limit_, most_growth * slots_);
+        limit_ = std::min(limit_ + 1 / limit_, static_cast<double>(slots_));
     }
 }
 
--- a/src/sched/adaptive_limit.hpp
+++ b/src/sched/adaptive_limit.hpp
@@ -13,7 +13,7 @@
 {
 public:
     int limit() const override;
-    /// The first limit, and through a multiple the largest.
+    /// The first limit and the largest.
     void set_slots(int slots) override;
     void on_finished(service_sample const& sample,
                      base::time_point now) override;
--- a/src/sched/prefix_index.cpp
+++ b/src/sched/prefix_index.cpp
@@ -13,11 +13,16 @@
 constexpr std::size_t bucket_blocks = 4;
 /// Room per block of capacity, so that buckets seldom overflow.
 constexpr std::size_t spare = 2;
-constexpr std::size_t least_capacity = 64;
-/// What the capacity is multiplied by when the target had evicted more than
-/// expected, and when it had not.
+constexpr std::size_t least_capacity = 16;
+/// The target keeps less than what it had evicted was old.
 constexpr double shrink = 0.9;
-constexpr double growth = 1.01;
+/// It keeps more than was thought.
+constexpr double growth = 1.1;
+/// A hit this near to the capacity shows that there may be more.
+constexpr double near_capacity = 0.8;
+/// A hit of this many tokens more than expected does so too; less may be an
+/// earlier answer, which is not known here.
+constexpr base::token_count surprise = 8 * prefix_block_tokens;
 
 } // namespace
 
@@ -42,28 +47,31 @@
     return b.stamp_ != 0 && insertions_ - b.stamp_ < capacity_;
 }
 
-bool prefix_index::contains(std::uint64_t hash) const
+prefix_index::block const* prefix_index::find(std::uint64_t hash) const
 {
     auto const* const bucket = &blocks_[bucket_of(hash)];
-    return std::any_of(bucket, bucket + bucket_blocks,
-                       [&](block const& b)
-                       { return b.hash_ == hash && kept(b); });
+    auto const* const end = bucket + bucket_blocks;
+    auto const* const place = std::find_if(
+        bucket, end,
+        [&](block const& b) { return b.hash_ == hash && kept(b); });
+    return place == end ? nullptr : place;
 }
 
 // A prompt's blocks are touched last to first, so a block is no older than
 // those that build on it: what is kept of a prompt is a leading part, and its
 // end can be found by bisection.
-base::token_count
-prefix_index::cached(std::span<std::uint64_t const> prefix) const
+prefix_match prefix_index::match(std::span<std::uint64_t const> prefix) const
 {
-    if (blocks_.empty() || prefix.empty() || !contains(prefix.front()))
+    if (blocks_.empty() || prefix.empty() || find(prefix.front()) == nullptr)
     {
-        return 0;
+        return {};
     }
-    auto const end =
-        std::partition_point(prefix.begin(), prefix.end(),
-                             [this](auto hash) { return contains(hash); });
-    return (end - prefix.begin()) * prefix_block_tokens;
+    auto const end = std::partition_point(prefix.begin(), prefix.end(),
+                                          [this](auto hash)
+                                          { return find(hash) != nullptr; });
+    auto const* const last = find(*std::prev(end));
+    return {(end - prefix.begin()) * prefix_block_tokens,
+            last == nullptr ? 0 : insertions_ - last->stamp_};
 }
 
 void prefix_index::touch(std::uint64_t hash)
@@ -95,17 +103,23 @@
                   [this](auto hash) { touch(hash); });
 }
 
-void prefix_index::correct(base::token_count expected, base::token_count cached)
+void prefix_index::correct(prefix_match const& expected,
+                           base::token_count cached)
 {
-    if (expected == 0)
-    {
-        return;
-    }
+    auto const age = static_cast<double>(expected.age_);
+    auto const capacity = static_cast<double>(capacity_);
+    auto changed = capacity;
     // A target may count in blocks of another size; less than a block is no
     // miss.
-    auto const miss = cached + prefix_block_tokens < expected;
-    auto const changed =
-        static_cast<double>(capacity_) * (miss ? shrink : growth) + 1;
+    if (cached + prefix_block_tokens < expected.tokens_)
+    {
+        changed = std::min(capacity, age * shrink);
+    }
+    else if (age > capacity * near_capacity ||
+             cached > expected.tokens_ + surprise)
+    {
+        changed = capacity * growth + 1;
+    }
     auto const least = std::min(least_capacity, most_capacity_);
     capacity_ =
         std::clamp(static_cast<std::size_t>(changed), least, most_capacity_);
--- a/src/sched/prefix_index.hpp
+++ b/src/sched/prefix_index.hpp
@@ -8,6 +8,14 @@
 namespace tanagerlead::sched
 {
 
+/// The part of a prompt that a target should have cached.
+struct prefix_match
+{
+    base::token_count tokens_ = 0;
+    /// Blocks that came in since its last block was used.
+    std::uint64_t age_ = 0;
+};
+
 /// What one target's prefix cache should hold, going by what was sent to it.
 /// Bounded, and about least recently used first out, as the target's own cache
 /// is. How much the target keeps is learned from what it says it had cached.
@@ -19,13 +27,17 @@
 
     explicit prefix_index(std::size_t capacity = default_capacity);
 
+    prefix_match match(std::span<std::uint64_t const> prefix) const;
     /// Leading tokens of the prompt that should be cached.
-    base::token_count cached(std::span<std::uint64_t const> prefix) const;
+    base::token_count cached(std::span<std::uint64_t const> prefix) const
+    {
+        return match(prefix).tokens_;
+    }
     /// The target was sent this prompt.
     void add(std::span<std::uint64_t const> prefix);
     /// The target took `cached` tokens of a prompt from its cache when
     /// `expected` had been expected.
-    void correct(base::token_count expected, base::token_count cached);
+    void correct(prefix_match const& expected, base::token_count cached);
     /// The target died and its cache with it.
     void clear();
 
@@ -41,7 +53,8 @@
 
     std::size_t bucket_of(std::uint64_t hash) const;
     bool kept(block const& b) const;
-    bool contains(std::uint64_t hash) const;
+    /// Null when it is not kept.
+    block const* find(std::uint64_t hash) const;
     void touch(std::uint64_t hash);
 
     std::size_t most_capacity_;
--- a/src/sched/running_request.hpp
+++ b/src/sched/running_request.hpp
@@ -16,6 +16,7 @@
     double cost_ = 1;
     /// Prompt tokens that the target should have had cached.
     base::token_count cached_ = 0;
+    prefix_match expected_;
     /// From the dispatch to the first token; zero before it.
     base::duration first_token_{};
     /// Requests outstanding at the target just after the dispatch.
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -310,7 +310,7 @@
 void scheduler::on_finished(running_request& run, dispatch_report const& event)
 {
     run.target_->health_.on_progress(now_);
-    run.target_->prefixes_.correct(run.cached_, event.cached_tokens_);
+    run.target_->prefixes_.correct(run.expected_, event.cached_tokens_);
     quarantine_.on_finished(run.item_.fingerprint_, now_);
     lengths_.add(run.item_, event.output_tokens_);
     auto const uncached = std::max<base::token_count>(
@@ -530,8 +530,9 @@
     started.target_ = &target;
     started.dispatched_ = now_;
     started.cost_ = request.cost_;
-    started.cached_ = std::min(target.prefixes_.cached(request.item_.prefix_),
-                               request.item_.prompt_tokens_);
+    started.expected_ = target.prefixes_.match(request.item_.prefix_);
+    started.cached_ =
+        std::min(started.expected_.tokens_, request.item_.prompt_tokens_);
     started.suspect_ = is_suspect(request);
     started.item_ = std::move(request.item_);
     auto const id = started.item_.request_;
--- a/src/sched/target_choice.cpp
+++ b/src/sched/target_choice.cpp
@@ -1,7 +1,6 @@
 #include "src/sched/target_choice.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace tanagerlead::sched
 {
@@ -20,23 +19,8 @@
 /// A straggler or a target that came back is tried this often.
 constexpr base::duration probe_interval = 2s;
 
-/// Seconds until a request sent now would end.
-double finish(target_state const& t, waiting_request const& request,
-              base::token_count cached, base::time_point now)
-{
-    auto const& speed = t.speed();
-    auto const others = t.load_.others(now);
-    auto const load = t.outstanding_ + others + 1;
-    workload const work{
-        std::max<base::token_count>(request.item_.prompt_tokens_ - cached, 0) +
-            t.prefilling_,
-        request.expected_output_, static_cast<double>(load)};
-    auto const beyond = load - std::max(t.config_.slots_, t.allowed_);
-    auto const queue =
-        beyond > 0 ? speed.mean_service() * beyond / std::max(t.allowed_, 1)
-                   : 0.0;
-    return queue + speed.service(work) + tie_break * t.outstanding_;
-}
+/// Targets differ in what they have cached when by at least this.
+constexpr base::token_count least_difference = 2 * prefix_block_tokens;
 
 base::token_count cached_at(target_state const& t,
                             waiting_request const& request)
@@ -48,31 +32,50 @@
 /// Seconds until a full target should have room for one more.
 double time_to_room(target_state const& t)
 {
+    if (t.has_room())
+    {
+        return 0;
+    }
     auto const ahead = t.waiting_for_ + 1;
     return t.speed().mean_service() * ahead / std::max(t.outstanding_, 1);
 }
 
-struct prediction
+/// Seconds in a queue at the target itself.
+double queue_at(target_state const& t, int load)
 {
-    target_state* target_ = nullptr;
-    double seconds_ = std::numeric_limits<double>::max();
-    base::token_count cached_ = 0;
-};
+    auto const beyond = load - std::max(t.config_.slots_, t.allowed_);
+    return beyond > 0
+               ? t.speed().mean_service() * beyond / std::max(t.allowed_, 1)
+               : 0.0;
+}
 
-prediction best_of(std::span<target_state* const> targets,
-                   waiting_request const& request, base::time_point now)
+// A prefill holds up the other answers of its target too, so it counts once for
+// each. Where a prefix is cached decides by wait and prefill alone: a fast
+// target would draw every thread away from its prefix by its decode speed.
+double score_of(prospect const& p, waiting_request const& request,
+                bool prefix_decides, base::time_point now)
 {
-    prediction best;
-    for (auto* const t : targets)
-    {
-        auto const cached = cached_at(*t, request);
-        auto const seconds = finish(*t, request, cached, now);
-        if (seconds < best.seconds_)
-        {
-            best = {t, seconds, cached};
-        }
-    }
-    return best;
+    auto const& t = *p.target_;
+    auto const& speed = t.speed();
+    auto const load = t.outstanding_ + t.load_.others(now) + 1;
+    auto const uncached = std::max<base::token_count>(
+        request.item_.prompt_tokens_ - p.cached_, 0);
+    auto const stalled = std::min(load, std::max(t.allowed_, 1)) - 1;
+    auto const prefill = speed.first_token(uncached + t.prefilling_) +
+                         stalled * speed.prefill(uncached);
+    auto const tokens = prefix_decides ? 0 : request.expected_output_;
+    auto const decode = static_cast<double>(tokens) * speed.step(load);
+    return p.wait_ + queue_at(t, load) + prefill + decode +
+           tie_break * t.outstanding_;
+}
+
+/// Whether some of the targets have much more of the prompt than others.
+bool differ(std::span<prospect const> all)
+{
+    auto const [least, most] = std::minmax_element(
+        all.begin(), all.end(),
+        [](auto const& a, auto const& b) { return a.cached_ < b.cached_; });
+    return most->cached_ - least->cached_ >= least_difference;
 }
 
 // A target that looks slow is never the best choice while others have room,
@@ -112,6 +115,34 @@
             {}};
 }
 
+// Full targets count only where they have more of the prompt than any with
+// room, and only for a short wait.
+void earliest_finish_choice::look_at(waiting_request const& request,
+                                     candidates const& from)
+{
+    prospects_.clear();
+    base::token_count most = 0;
+    for (auto* const t : from.usable_)
+    {
+        auto const cached = cached_at(*t, request);
+        prospects_.push_back({t, cached, 0, 0});
+        most = std::max(most, cached);
+    }
+    if (request.item_.prefix_.empty())
+    {
+        return;
+    }
+    for (auto* const t : from.full_)
+    {
+        auto const cached = cached_at(*t, request);
+        auto const wait = time_to_room(*t);
+        if (cached >= most + least_difference && wait < longest_wait_for_prefix)
+        {
+            prospects_.push_back({t, cached, wait, 0});
+        }
+    }
+}
+
 placement earliest_finish_choice::choose(waiting_request const& request,
                                          candidates const& from,
                                          base::time_point now)
@@ -120,22 +151,18 @@
     {
         return {probe, {}};
     }
-    auto const best = best_of(from.usable_, request, now);
-    placement chosen{best.target_, {}};
-    auto sooner = best.seconds_;
-    for (auto* const t : from.full_)
+    look_at(request, from);
+    auto const prefix_decides = differ(prospects_);
+    prospect const* best = nullptr;
+    for (auto& p : prospects_)
     {
-        auto const cached = cached_at(*t, request);
-        auto const wait = time_to_room(*t);
-        auto const seconds = wait + finish(*t, request, cached, now);
-        if (cached > best.cached_ && wait < longest_wait_for_prefix &&
-            seconds < sooner)
+        p.score_ = score_of(p, request, prefix_decides, now);
+        if (best == nullptr || p.score_ < best->score_)
         {
-            sooner = seconds;
-            chosen = {t, base::from_seconds(wait * wait_slack)};
+            best = &p;
         }
     }
-    return chosen;
+    return {best->target_, base::from_seconds(best->wait_ * wait_slack)};
 }
 
 } // namespace tanagerlead::sched
--- a/src/sched/target_choice.hpp
+++ b/src/sched/target_choice.hpp
@@ -4,6 +4,7 @@
 #include "src/sched/waiting_request.hpp"
 
 #include <span>
+#include <vector>
 
 namespace tanagerlead::sched
 {
@@ -17,6 +18,17 @@
     std::span<target_state* const> full_;
 };
 
+/// One target and what is expected of it.
+struct prospect
+{
+    target_state* target_ = nullptr;
+    base::token_count cached_ = 0;
+    /// Seconds until it has room.
+    double wait_ = 0;
+    /// Seconds that decide; less is better.
+    double score_ = 0;
+};
+
 struct placement
 {
     target_state* target_ = nullptr;
@@ -61,6 +73,12 @@
 public:
     placement choose(waiting_request const& request, candidates const& from,
                      base::time_point now) override;
+
+private:
+    void look_at(waiting_request const& request, candidates const& from);
+
+    /// Kept between calls for its memory.
+    std::vector<prospect> prospects_;
 };
 
 } // namespace tanagerlead::sched
--- a/src/sched/target_model.cpp
+++ b/src/sched/target_model.cpp
@@ -88,7 +88,12 @@
 
 double target_model::first_token(base::token_count uncached) const
 {
-    return overhead_ + static_cast<double>(uncached) / prefill_rate_;
+    return overhead_ + prefill(uncached);
+}
+
+double target_model::prefill(base::token_count uncached) const
+{
+    return static_cast<double>(uncached) / prefill_rate_;
 }
 
 double target_model::step(double concurrency) const
--- a/src/sched/target_model.hpp
+++ b/src/sched/target_model.hpp
@@ -43,6 +43,8 @@
     bool ready() const { return samples_ >= enough_samples; }
     /// Seconds to the first token.
     double first_token(base::token_count uncached) const;
+    /// Seconds of prefill alone.
+    double prefill(base::token_count uncached) const;
     /// Seconds between tokens.
     double step(double concurrency) const;
     /// Seconds to the end of the answer.
