Count what a prefill pushes out of a full cache

Cause: threads still moved to fast engines, whose caches then lost the threads they had; each lost prefix was prefilled again.

A prefill now counts twice where the index of the target is full. Ruled out: a larger allowance for waiting, which holds slots idle.

With the change the test of a thread's target failed, for its engines said that they had cached nothing, and the index believed them. They now say what they have; the test asks for the same as before.

--- a/src/sched/prefix_index.hpp
+++ b/src/sched/prefix_index.hpp
@@ -42,6 +42,8 @@
     void clear();
 
     std::size_t capacity() const { return capacity_; }
+    /// New blocks push out old ones.
+    bool full() const { return insertions_ >= capacity_; }
 
 private:
     struct block
--- a/src/sched/target_choice.cpp
+++ b/src/sched/target_choice.cpp
@@ -50,8 +50,9 @@
 }
 
 // A prefill holds up the other answers of its target too, so it counts once for
-// each. Where a prefix is cached decides by wait and prefill alone: a fast
-// target would draw every thread away from its prefix by its decode speed.
+// each; and what it pushes out of a full cache will be prefilled again. Where a
+// prefix is cached decides by wait and prefill alone: a fast target would draw
+// every thread away from its prefix by its decode speed.
 double score_of(prospect const& p, waiting_request const& request,
                 bool prefix_decides, base::time_point now)
 {
@@ -61,8 +62,9 @@
     auto const uncached = std::max<base::token_count>(
         request.item_.prompt_tokens_ - p.cached_, 0);
     auto const stalled = std::min(load, std::max(t.allowed_, 1)) - 1;
-    auto const prefill = speed.first_token(uncached + t.prefilling_) +
-                         stalled * speed.prefill(uncached);
+    auto const again = t.prefixes_.full() ? 2 : 1;
+    auto const prefill = speed.first_token(t.prefilling_) +
+                         (1 + stalled) * again * speed.prefill(uncached);
     auto const tokens = prefix_decides ? 0 : request.expected_output_;
     auto const decode = static_cast<double>(tokens) * speed.step(load);
     return p.wait_ + queue_at(t, load) + prefill + decode +
--- a/tests/sched/virtual_cell.cpp
+++ b/tests/sched/virtual_cell.cpp
@@ -9,6 +9,15 @@
 namespace tanagerlead::sched::testing
 {
 
+base::token_count virtual_target::take_cached(prefix_hashes const& prefix)
+{
+    auto const missing =
+        std::find_if(prefix.begin(), prefix.end(),
+                     [this](auto hash) { return !cache_.contains(hash); });
+    cache_.insert(missing, prefix.end());
+    return (missing - prefix.begin()) * prefix_block_tokens;
+}
+
 virtual_cell::virtual_cell(std::string_view policy,
                            cell_settings const& settings)
     : scheduler_{make_scheduler(policy)}, keeps_tiers_{policy == "tanagerlead"}
@@ -150,9 +159,11 @@
 {
     ++t.running_;
     auto const& record = records_.at(g.request_.sequence_);
-    auto const prompt = static_cast<double>(record.item_.prompt_tokens_);
+    auto const cached = t.take_cached(record.item_.prefix_);
+    auto const uncached =
+        static_cast<double>(record.item_.prompt_tokens_ - cached);
     auto const first =
-        now_ + base::from_seconds(prompt / t.prefill_rate_ + t.step_);
+        now_ + base::from_seconds(uncached / t.prefill_rate_ + t.step_);
     auto const steps = static_cast<double>(record.output_ - 1);
     auto const last = first + base::from_seconds(steps * t.step_);
     auto r = report(g, dispatch_event::first_token, first - record.granted_);
@@ -160,6 +171,7 @@
     r.event_ = dispatch_event::finished;
     r.elapsed_ = last - record.granted_;
     r.output_tokens_ = record.output_;
+    r.cached_tokens_ = cached;
     events_.emplace(last, event{g.request_.sequence_, r});
 }
 
@@ -167,6 +179,7 @@
 void virtual_cell::crash(virtual_target& t)
 {
     t.running_ = 0;
+    t.cache_.clear();
     t.queue_.clear();
     for (auto const number : std::set<std::uint64_t>{on_target_})
     {
--- a/tests/sched/virtual_cell.hpp
+++ b/tests/sched/virtual_cell.hpp
@@ -20,6 +20,11 @@
     double step_ = 0.01;
     int running_ = 0;
     std::deque<grant> queue_;
+    /// Blocks of the prompts it has run; it never evicts.
+    std::set<std::uint64_t> cache_;
+
+    /// Tokens of the prompt that were cached; caches the others.
+    base::token_count take_cached(prefix_hashes const& prefix);
 };
 
 struct outcome_record
