Put an accepted version in force from the daemon that took it

The daemon that takes a patch now publishes what it wrote and the others copy it. Waiting for the service was ruled out, since an accepted version must be in force within seconds.

--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -84,8 +84,12 @@
     control_->post(
         [this, peer, address, version]
         {
-            state_->on_peer_version({peer, address}, version, control_->now());
-            step();
+            // Heartbeats of hundreds of peers bring nothing new most times.
+            if (state_->on_peer_version({peer, address}, version,
+                                        control_->now()))
+            {
+                step();
+            }
         });
 }
 
@@ -104,7 +108,25 @@
         });
 }
 
-void config_service::on_accepted(base::config_version version)
+void config_service::on_accepted(submit_answer const& accepted)
+{
+    if (!accepted.accepted_)
+    {
+        take_version(accepted.version_);
+        return;
+    }
+    control_->post(
+        [this, stored = accepted.accepted_]
+        {
+            if (state_->on_accepted(stored->head_.version_, control_->now()))
+            {
+                publish(*stored);
+            }
+            step();
+        });
+}
+
+void config_service::take_version(base::config_version version)
 {
     control_->post(
         [this, version]
@@ -186,7 +208,7 @@
     auto const told = decode_head(entry.value_);
     if (told)
     {
-        on_accepted(told.value().version_);
+        take_version(told.value().version_);
     }
 }
 
--- a/src/config/config_service.hpp
+++ b/src/config/config_service.hpp
@@ -55,8 +55,9 @@
     void on_peer_gone(base::daemon_id const& peer);
     /// Live daemons of the own data centre.
     void on_members(std::vector<base::daemon_id> same_data_centre);
-    /// A version was accepted here; spares the wait for the watch.
-    void on_accepted(base::config_version version);
+    /// A patch was accepted here: puts it in force at once, so that the others
+    /// can copy it even when the service goes down right after the write.
+    void on_accepted(submit_answer const& accepted);
 
     /// Answers a peer's copy request. Any thread. Errors: `corrupt`,
     /// `not_found` without a configuration.
@@ -79,6 +80,7 @@
     void order_poll();
     void order_fetch(fetch_order const& order);
     void take_watched(platform::key_value_entry const& entry);
+    void take_version(base::config_version version);
     void take_fetched(base::result<stored_configuration> fetched);
     void publish(stored_configuration version);
     stored latest() const;
--- a/src/config/config_state.cpp
+++ b/src/config/config_state.cpp
@@ -44,12 +44,13 @@
     }
 }
 
-void config_state::on_peer_version(config_peer const& peer,
+bool config_state::on_peer_version(config_peer const& peer,
                                    base::config_version version,
                                    base::time_point now)
 {
     last_contact_ = std::max(last_contact_, now);
     peers_[peer.daemon_] = {peer.address_, version};
+    return version > in_force_;
 }
 
 void config_state::on_peer_gone(base::daemon_id const& peer)
@@ -90,6 +91,18 @@
         backoff_ = first_fetch_backoff;
         fetch_at_ = now;
     }
+    return raise(version);
+}
+
+bool config_state::on_accepted(base::config_version version,
+                               base::time_point now)
+{
+    on_watch(version, now);
+    return raise(version);
+}
+
+bool config_state::raise(base::config_version version)
+{
     if (version <= in_force_)
     {
         return false;
--- a/src/config/config_state.hpp
+++ b/src/config/config_state.hpp
@@ -62,8 +62,9 @@
     /// The live daemons of the own data centre; the own one may be missing.
     void on_members(std::vector<base::daemon_id> const& same_data_centre,
                     base::time_point now);
-    /// A peer was heard of, with the version in force there.
-    void on_peer_version(config_peer const& peer, base::config_version version,
+    /// A peer was heard of, with the version in force there. True when that is
+    /// later than the one in force here.
+    bool on_peer_version(config_peer const& peer, base::config_version version,
                          base::time_point now);
     void on_peer_gone(base::daemon_id const& peer);
     void on_watch(base::config_version version, base::time_point now);
@@ -73,6 +74,9 @@
     /// Ends a fetch. True when the version is later than that in force and is
     /// to be published; false when it must be dropped.
     bool on_fetched(base::config_version version, base::time_point now);
+    /// A version was accepted through this daemon; as `on_fetched`, with no
+    /// fetch ended.
+    bool on_accepted(base::config_version version, base::time_point now);
     void on_fetch_failed(base::time_point now);
 
     /// Started work counts as under way until its end is told.
@@ -99,6 +103,7 @@
         base::config_version version_{};
     };
 
+    bool raise(base::config_version version);
     base::config_version latest_known() const;
     std::optional<config_peer> pick_peer(base::config_version wanted);
     std::optional<fetch_order> pick_fetch(base::time_point now);
--- a/src/config/config_store.cpp
+++ b/src/config/config_store.cpp
@@ -99,6 +99,7 @@
 {
     head head_;
     std::int64_t base_revision_ = 0;
+    std::vector<page> all_pages_;
     /// Pages that the base does not have.
     std::vector<key_value_write> pages_;
 };
@@ -243,6 +244,12 @@
     BOOST_OUTCOME_TRY(auto earlier, find_earlier(request, current.head_));
     if (earlier)
     {
+        if (earlier->status_ == submit_status::accepted &&
+            earlier->version_ == current.head_.version_)
+        {
+            earlier->accepted_ =
+                std::make_shared<stored_configuration const>(current);
+        }
         return std::move(*earlier);
     }
     submit_answer answer;
@@ -261,13 +268,37 @@
 config_store::write(patch_request const& request,
                     stored_configuration const& base,
                     configuration const& wanted)
+{
+    BOOST_OUTCOME_TRY(auto const from, plan(request, base, wanted));
+    BOOST_OUTCOME_TRY(write_pages(from));
+    BOOST_OUTCOME_TRY(auto const swapped, swap_head(from));
+    if (swapped == commit_outcome::conflict)
+    {
+        discard_pages(from);
+        return settle(request);
+    }
+    collect_garbage(wanted.version_);
+    submit_answer accepted;
+    accepted.status_ = submit_status::accepted;
+    accepted.version_ = wanted.version_;
+    accepted.accepted_ = std::make_shared<stored_configuration const>(
+        stored_configuration{from.head_, 0, from.all_pages_,
+                             std::make_shared<configuration const>(wanted)});
+    return accepted;
+}
+
+base::result<config_store::attempt>
+config_store::plan(patch_request const& request,
+                   stored_configuration const& base,
+                   configuration const& wanted)
 {
     attempt from;
     from.base_revision_ = base.revision_;
     from.head_.version_ = wanted.version_;
     from.head_.patch_id_ = request.patch_id_;
     from.head_.patch_sha256_ = patch_digest(request);
-    for (auto& each : split_into_pages(wanted, base.pages_))
+    from.all_pages_ = split_into_pages(wanted, base.pages_);
+    for (auto const& each : from.all_pages_)
     {
         auto const sha256 = sha256_hex(each.text_);
         if (each.text_.size() > largest_value_bytes)
@@ -283,21 +314,10 @@
             {each.section_, each.number_, key, sha256});
         if (kept == nullptr)
         {
-            from.pages_.push_back({key, std::move(each.text_), std::nullopt});
+            from.pages_.push_back({key, each.text_, std::nullopt});
         }
     }
-    BOOST_OUTCOME_TRY(write_pages(from));
-    BOOST_OUTCOME_TRY(auto const swapped, swap_head(from));
-    if (swapped == commit_outcome::conflict)
-    {
-        discard_pages(from);
-        return settle(request);
-    }
-    collect_garbage(wanted.version_);
-    submit_answer accepted;
-    accepted.status_ = submit_status::accepted;
-    accepted.version_ = wanted.version_;
-    return accepted;
+    return from;
 }
 
 base::result<void> config_store::write_pages(attempt const& from)
--- a/src/config/config_store.hpp
+++ b/src/config/config_store.hpp
@@ -6,6 +6,7 @@
 #include "src/config/patch.hpp"
 #include "src/platform/key_value.hpp"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,6 +42,16 @@
     invalid,
 };
 
+/// A version as it lies in the store.
+struct stored_configuration
+{
+    head head_;
+    /// Of the head's key; what a later write must find.
+    std::int64_t revision_ = 0;
+    std::vector<page> pages_;
+    snapshot configuration_;
+};
+
 struct submit_answer
 {
     submit_status status_ = submit_status::invalid;
@@ -52,16 +63,8 @@
     std::vector<field_change> changes_;
     /// Of a conflict: the same id was used for another patch.
     bool patch_id_reused_ = false;
-};
-
-/// A version as it was read from the store.
-struct stored_configuration
-{
-    head head_;
-    /// Of the head's key; what a later write must find.
-    std::int64_t revision_ = 0;
-    std::vector<page> pages_;
-    snapshot configuration_;
+    /// Of an accepted patch that is the current version: its content.
+    std::shared_ptr<stored_configuration const> accepted_;
 };
 
 /// Numbered versions in the key-value service: immutable pages, then one
@@ -103,6 +106,9 @@
     base::result<submit_answer> write(patch_request const& request,
                                       stored_configuration const& base,
                                       configuration const& wanted);
+    static base::result<attempt> plan(patch_request const& request,
+                                      stored_configuration const& base,
+                                      configuration const& wanted);
     base::result<void> write_pages(attempt const& from);
     base::result<platform::commit_outcome> swap_head(attempt const& from);
     base::result<submit_answer> settle(patch_request const& request);
--- a/src/http/config_api.cpp
+++ b/src/http/config_api.cpp
@@ -306,7 +306,7 @@
     }
     if (submitted.value().status_ == config::submit_status::accepted)
     {
-        service_.on_accepted(submitted.value().version_);
+        service_.on_accepted(submitted.value());
     }
     answer_submitted(out, submitted.value());
 }
--- a/tests/config/config_service_test.cpp
+++ b/tests/config/config_service_test.cpp
@@ -146,6 +146,26 @@
     CHECK_EQUAL(8, two.service().current()->targets_[1].slots_);
 }
 
+TEST(config_service, a_version_is_in_force_though_the_service_went_down)
+{
+    node one{"d1", fake_.local_address(), no_peers()};
+    auto const answer = one.service().store().submit(
+        {{}, "first", {patch_kind::merge, sample_document}});
+    fake_.set_faults({.outage_ = fakes::outage::refuse});
+    one.service().on_accepted(answer.value());
+    CHECK(one.wait_for(1));
+    node two{"d2", fake_.local_address(),
+             [&](auto const&, std::string const& request)
+             {
+                 return one.service().answer_peer(request);
+             }};
+    two.service().on_peer_version(base::daemon_id{"d1"}, {"127.0.0.1", 1},
+                                  config_version{1});
+    CHECK(two.wait_for(1));
+    STRCMP_EQUAL(config::serialize(*one.service().current()).c_str(),
+                 config::serialize(*two.service().current()).c_str());
+}
+
 TEST(config_service, a_copy_brings_only_pages_that_changed)
 {
     node one{"d1", fake_.local_address(), no_peers()};
--- a/tests/config/config_state_test.cpp
+++ b/tests/config/config_state_test.cpp
@@ -49,6 +49,14 @@
     CHECK(state_.in_force() == config_version{4});
 }
 
+TEST(config_state, an_accepted_version_needs_no_fetch)
+{
+    CHECK(state_.on_accepted(config_version{3}, now_));
+    CHECK_FALSE(next().fetch_.has_value());
+    CHECK_FALSE(state_.on_accepted(config_version{2}, now_));
+    CHECK(state_.in_force() == config_version{3});
+}
+
 TEST(config_state, a_store_that_lost_versions_is_not_followed)
 {
     state_.on_fetched(config_version{5}, now_);
