--- a/src/cell/cell_owner.cpp
+++ b/src/cell/cell_owner.cpp
@@ -23,8 +23,10 @@
 } // namespace
 
 cell_owner::cell_owner(base::cell_id cell, cell_epoch epoch,
-                       std::unique_ptr<sched::cell_scheduler> scheduler)
+                       std::unique_ptr<sched::cell_scheduler> scheduler,
+                       base::time_point begin)
     : cell_{std::move(cell)}, epoch_{epoch}, scheduler_{std::move(scheduler)},
+      settled_at_{begin + timing::settling_time},
       last_number_{static_cast<std::uint64_t>(epoch) << tenure_shift}
 {
 }
@@ -249,6 +251,11 @@
     held.stage_ = next;
 }
 
+base::time_point cell_owner::grants_from() const
+{
+    return std::max(settled_at_, held_until_);
+}
+
 bool cell_owner::occupies_target(held_request const& held) const
 {
     return held.stage_ == stage::granted || held.stage_ == stage::running ||
@@ -311,7 +318,7 @@
     }
     send_queries(now, out);
     actions_.clear();
-    if (now >= held_until_)
+    if (now >= grants_from())
     {
         scheduler_->advance(now, actions_);
     }
@@ -329,7 +336,7 @@
 base::time_point cell_owner::next_wakeup() const
 {
     auto next = std::min(timers_.next(),
-                         std::max(scheduler_->next_wakeup(), held_until_));
+                         std::max(scheduler_->next_wakeup(), grants_from()));
     if (!queued_by_entry_.empty())
     {
         next = std::min(next, next_heartbeat_);
--- a/src/cell/cell_owner.hpp
+++ b/src/cell/cell_owner.hpp
@@ -33,8 +33,10 @@
 class cell_owner
 {
 public:
+    /// `begin`: when the tenure begins.
     cell_owner(base::cell_id cell, cell_epoch epoch,
-               std::unique_ptr<sched::cell_scheduler> scheduler);
+               std::unique_ptr<sched::cell_scheduler> scheduler,
+               base::time_point begin);
 
     void configure(sched::cell_settings const& settings);
     void observe(sched::target_load const& load, base::time_point now);
@@ -109,6 +111,7 @@
     void end(base::request_id request, base::time_point now);
     void erase(base::request_id request);
     void set_stage(held_request& held, stage next);
+    base::time_point grants_from() const;
     bool occupies_target(held_request const& held) const;
 
     void acknowledge(daemon_life const& to, request_update const& update,
@@ -131,6 +134,7 @@
     cell_epoch epoch_;
     std::unique_ptr<sched::cell_scheduler> scheduler_;
     base::tier lowest_tier_{};
+    base::time_point settled_at_;
     base::time_point held_until_ = base::time_point::min();
     held_map held_;
     timer_queue<base::request_id> timers_;
--- a/src/cell/coordinator.cpp
+++ b/src/cell/coordinator.cpp
@@ -277,7 +277,7 @@
         if (found == owned_.end())
         {
             cell_owner fresh{id, cell_epoch{++last_epoch_},
-                             settings_.make_scheduler_()};
+                             settings_.make_scheduler_(), now};
             found = owned_.emplace(id, std::move(fresh)).first;
             configure(id, found->second);
             found->second.hold_until(leaving_.usable_from(now));
--- a/src/cell/timing.hpp
+++ b/src/cell/timing.hpp
@@ -21,6 +21,8 @@
 /// Waiting for longer than this in a cell is a sign of overload.
 constexpr base::duration overload_wait = 250ms;
 
+/// A new owner grants nothing for so long: the entries tell it what runs.
+constexpr base::duration settling_time = 100ms;
 /// An entry may use a grant within this time of its first sending.
 constexpr base::duration grant_lifetime = 1s;
 /// Before an entry asks again after declining a grant it cannot use.
--- a/tests/cell/cluster.cpp
+++ b/tests/cell/cluster.cpp
@@ -1,5 +1,6 @@
 #include "tests/cell/cluster.hpp"
 
+#include "src/cell/timing.hpp"
 #include "tests/cell/fifo_scheduler.hpp"
 
 #include <algorithm>
@@ -49,6 +50,7 @@
         start(i);
     }
     spread_members();
+    run_for(timing::settling_time);
 }
 
 void cluster::start(std::size_t i)
@@ -130,17 +132,21 @@
 
 void cluster::spread_members()
 {
-    auto const view = members();
     for (std::size_t i = 0; i < size(); ++i)
     {
         if (runs(i))
         {
-            at(i).on_members(view, now_);
-            advance(i);
+            show_members(i);
         }
     }
 }
 
+void cluster::show_members(std::size_t i)
+{
+    at(i).on_members(members(), now_);
+    advance(i);
+}
+
 sched::work_item cluster::item(base::request_id request) const
 {
     return items_.at(request);
--- a/tests/cell/cluster.hpp
+++ b/tests/cell/cluster.hpp
@@ -47,6 +47,8 @@
     void freeze(std::size_t node, bool frozen);
     /// All daemons that run learn at once who is alive.
     void spread_members();
+    /// Only this one learns.
+    void show_members(std::size_t node);
     void set_state(std::size_t node, membership::member_state state);
 
     base::request_id submit(std::size_t node, int tier = 0);
--- a/tests/cell/fifo_scheduler.hpp
+++ b/tests/cell/fifo_scheduler.hpp
@@ -18,12 +18,14 @@
     void configure(sched::cell_settings const& settings) override
     {
         settings_ = settings;
+        touched_ = true;
     }
     void enqueue(sched::work_item const& item, base::time_point) override
     {
         if (!is_waiting(item.request_) && !running_.contains(item.request_))
         {
             queue_.push_back(item);
+            touched_ = true;
         }
     }
     void withdraw(base::request_id request, base::time_point) override
@@ -42,6 +44,7 @@
             event.event_ != sched::dispatch_event::first_token)
         {
             running_.erase(event.request_);
+            touched_ = true;
         }
     }
     void observe(sched::target_load const&, base::time_point) override {}
@@ -49,13 +52,16 @@
                      base::time_point) override
     {
         leaving ? void(leaving_.insert(target)) : void(leaving_.erase(target));
+        touched_ = true;
     }
     void permit_down_to(base::tier lowest, base::time_point) override
     {
+        touched_ |= lowest_ != lowest;
         lowest_ = lowest;
     }
     void advance(base::time_point, std::vector<sched::action>& out) override
     {
+        touched_ = false;
         for (auto i = queue_.begin(); i != queue_.end();)
         {
             auto const target = free_target();
@@ -71,7 +77,7 @@
     }
     base::time_point next_wakeup() const override
     {
-        return base::time_point::max();
+        return touched_ ? base::time_point::min() : base::time_point::max();
     }
     std::size_t waiting() const override { return queue_.size(); }
     std::size_t in_flight() const override { return running_.size(); }
@@ -104,6 +110,7 @@
     std::deque<sched::work_item> queue_;
     std::map<base::request_id, base::target_id> running_;
     std::set<base::target_id> leaving_;
+    bool touched_ = false;
     base::tier lowest_{base::max_tiers - 1};
 };
 
