Run the histories with each real policy too

The driver knew only a small scheduler of its own, so the contract between the protocol and the schedulers that are shipped was not exercised. It now also runs 300 histories with each of the three policies, on seeds of their own. Running all 2000 with each was ruled out for its time.

--- a/tests/cell/cluster.cpp
+++ b/tests/cell/cluster.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t most_payload_bytes = 1200;
 } // namespace
 
+std::unique_ptr<sched::cell_scheduler> make_fifo_scheduler()
+{
+    return std::make_unique<fifo_scheduler>();
+}
+
 config::configuration small_configuration(int targets, int slots)
 {
     config::configuration made;
@@ -38,8 +43,10 @@
     return made;
 }
 
-cluster::cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list)
-    : random_{seed}, has_host_list_{has_host_list}
+cluster::cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list,
+                 scheduler_factory make_scheduler)
+    : random_{seed}, has_host_list_{has_host_list}, make_scheduler_{std::move(
+                                                        make_scheduler)}
 {
     config_ = std::make_shared<config::configuration const>(
         small_configuration(2, 2));
@@ -62,10 +69,7 @@
     settings.has_host_list_ = has_host_list_;
     settings.self_ = nodes_[i].life_;
     settings.data_centre_ = base::data_centre_id{"brest"};
-    settings.make_scheduler_ = []
-    {
-        return std::make_unique<fifo_scheduler>();
-    };
+    settings.make_scheduler_ = make_scheduler_;
     nodes_[i].coordinator_ = std::make_unique<coordinator>(std::move(settings));
     at(i).on_config(config_, now_);
 }
--- a/tests/cell/cluster.hpp
+++ b/tests/cell/cluster.hpp
@@ -27,13 +27,16 @@
     base::time_point when_;
 };
 
+std::unique_ptr<sched::cell_scheduler> make_fifo_scheduler();
+
 config::configuration small_configuration(int targets, int slots);
 
 /// A few coordinators, their datagrams and a clock. No hosts, no engines.
 class cluster
 {
 public:
-    cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list = false);
+    cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list = false,
+            scheduler_factory make_scheduler = make_fifo_scheduler);
 
     base::time_point now() const { return now_; }
     void set_config(config::configuration const& configuration);
@@ -105,6 +108,7 @@
 
     base::random_source random_;
     bool has_host_list_;
+    scheduler_factory make_scheduler_;
     base::time_point now_{std::chrono::hours{1}};
     std::vector<daemon_node> nodes_;
     std::uint64_t last_origin_ = 100;
--- a/tests/cell/history.cpp
+++ b/tests/cell/history.cpp
@@ -23,8 +23,9 @@
 constexpr double not_sent_part = 0.1;
 } // namespace
 
-history::history(std::uint64_t seed)
-    : seed_{seed}, random_{seed}, cluster_{2 + seed % 2, seed, true},
+history::history(std::uint64_t seed, scheduler_factory make_scheduler)
+    : seed_{seed}, random_{seed}, cluster_{2 + seed % 2, seed, true,
+                                           std::move(make_scheduler)},
       frozen_(cluster_.size()),
       read_(cluster_.size()), last_resume_{cluster_.now()}, next_poll_{
                                                                 cluster_.now()}
--- a/tests/cell/history.hpp
+++ b/tests/cell/history.hpp
@@ -14,7 +14,8 @@
 class history
 {
 public:
-    explicit history(std::uint64_t seed);
+    explicit history(std::uint64_t seed,
+                     scheduler_factory make_scheduler = make_fifo_scheduler);
 
     /// Runs it all; the first violated promise, empty when all held.
     std::string run();
--- a/tests/cell/history_test.cpp
+++ b/tests/cell/history_test.cpp
@@ -26,3 +26,21 @@
     CHECK(share_dispatches > histories);
     CHECK(withdrawals > histories);
 }
+
+TEST(history, promises_hold_with_each_policy)
+{
+    constexpr std::uint64_t first_seed = 100001;
+    constexpr std::uint64_t histories = 300;
+    for (auto const* policy :
+         {"tanagerlead", "fifo_round_robin", "least_outstanding"})
+    {
+        for (auto seed = first_seed; seed < first_seed + histories; ++seed)
+        {
+            cell::history one{seed, [policy]
+                              {
+                                  return sched::make_scheduler(policy);
+                              }};
+            STRCMP_EQUAL("", one.run().c_str());
+        }
+    }
+}
