Spill to another cell by what waits ahead in the same tiers

A new request went to its second choice of cell when more was waiting in the first, all tiers counted alike. So a higher tier could stay in a cell where it had to wait while another of the pool served lower ones, and a figure once heard was believed for ever.

--- a/src/cell/cell_entry.cpp
+++ b/src/cell/cell_entry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <numeric>
 #include <utility>
 
 namespace tanagerlead::cell
@@ -374,9 +375,17 @@
     return records_.contains(request);
 }
 
-std::size_t cell_entry::waiting_in_cell() const
+std::size_t cell_entry::waiting_ahead(base::tier tier,
+                                      base::time_point now) const
 {
-    return std::max<std::size_t>(waiting_, waiting_in_cell_);
+    // Lower tiers do not count: they are no delay for this one.
+    auto const upto = static_cast<std::ptrdiff_t>(base::index(tier)) + 1;
+    auto const sum = [upto](tier_counts const& counts)
+    {
+        return std::accumulate(counts.begin(), counts.begin() + upto, 0U);
+    };
+    auto const heard = now < permitted_until_ ? sum(waiting_in_cell_) : 0;
+    return std::max(heard, sum(waiting_by_tier_));
 }
 
 void cell_entry::raise(record& changed)
@@ -398,6 +407,7 @@
         listening_since_ = now;
     }
     ++waiting_;
+    ++waiting_by_tier_.at(base::index(fresh.item_.tier_));
     send_soon(fresh, now);
     if (share_scheduler_)
     {
@@ -410,6 +420,7 @@
     if (changed.state_ == request_state::waiting)
     {
         --waiting_;
+        --waiting_by_tier_.at(base::index(changed.item_.tier_));
     }
 }
 
--- a/src/cell/cell_entry.hpp
+++ b/src/cell/cell_entry.hpp
@@ -90,8 +90,9 @@
     /// No request left, remembered ones included.
     bool empty() const { return records_.empty(); }
     bool works_from_share() const { return share_scheduler_ != nullptr; }
-    /// Waiting requests in the whole cell, as last heard.
-    std::size_t waiting_in_cell() const;
+    /// Requests that a new one of this tier would wait behind in the whole
+    /// cell, as last heard; those known here when nothing was heard lately.
+    std::size_t waiting_ahead(base::tier tier, base::time_point now) const;
 
 private:
     /// Names a decision over all owners.
@@ -166,10 +167,11 @@
     base::tier permitted_{};
     base::time_point permitted_until_ = base::time_point::min();
     bool permission_is_fresh_ = false;
-    std::uint32_t waiting_in_cell_ = 0;
+    tier_counts waiting_in_cell_{};
 
     record_map records_;
     std::size_t waiting_ = 0;
+    tier_counts waiting_by_tier_{};
     timer_queue<base::request_id> resends_;
     timer_queue<base::request_id> expiries_;
     std::unique_ptr<sched::cell_scheduler> share_scheduler_;
--- a/src/cell/cell_owner.cpp
+++ b/src/cell/cell_owner.cpp
@@ -470,15 +470,25 @@
     beat.cell_ = cell_;
     beat.epoch_ = epoch_;
     beat.permitted_ = permitted_tier(now);
+    beat.waiting_ = waiting_by_tier();
     beat.valid_for_ = timing::permission_lifetime;
     for (auto const& [entry, queued] : queued_by_entry_)
     {
-        beat.waiting_ += static_cast<std::uint32_t>(queued);
+        out.push_back({entry, beat});
     }
-    for (auto const& [entry, queued] : queued_by_entry_)
+}
+
+tier_counts cell_owner::waiting_by_tier() const
+{
+    tier_counts counts{};
+    for (auto const& [request, held] : held_)
     {
-        out.push_back({entry, beat});
+        if (held.stage_ == stage::queued)
+        {
+            ++counts.at(base::index(held.item_.tier_));
+        }
     }
+    return counts;
 }
 
 base::tier cell_owner::permitted_tier(base::time_point now) const
--- a/src/cell/cell_owner.hpp
+++ b/src/cell/cell_owner.hpp
@@ -127,6 +127,7 @@
     void send_queries(base::time_point now, std::vector<outgoing_message>& out);
     void send_heartbeats(base::time_point now,
                          std::vector<outgoing_message>& out);
+    tier_counts waiting_by_tier() const;
     base::tier permitted_tier(base::time_point now) const;
     void forget_ended(base::time_point now);
 
--- a/src/cell/coordinator.cpp
+++ b/src/cell/coordinator.cpp
@@ -11,8 +11,10 @@
 {
 /// Retry advice when there is no backlog to compute it from.
 constexpr base::duration retry_elsewhere = std::chrono::seconds{1};
-/// Requests that the second choice of cell must be ahead by to be taken.
-constexpr std::size_t spill_margin = 16;
+/// Requests that a cell may have waiting beyond the least busy one before new
+/// ones spill over. By tier, so that a higher tier finds the cells where only
+/// lower ones wait.
+constexpr std::size_t spill_margin = 8;
 
 bool is_gone(membership::member const& m)
 {
@@ -339,31 +341,38 @@
     return 1.0 / static_cast<double>(std::max<std::ptrdiff_t>(1, alive));
 }
 
-base::cell_id coordinator::choose_cell(sched::work_item const& item) const
+base::cell_id coordinator::choose_cell(sched::work_item const& item,
+                                       base::time_point now) const
 {
+    auto const key = affinity_key(item);
+    base::cell_id best;
+    std::uint64_t best_weight = 0;
+    auto least = std::numeric_limits<std::size_t>::max();
     auto const cells = map_.serving(item.pool_, settings_.data_centre_);
-    if (cells.empty())
+    for (auto const& cell : cells)
     {
-        return {};
+        least = std::min(least, waiting_ahead(cell, item.tier_, now));
     }
-    auto const key = affinity_key(item);
-    auto ranked = cells;
-    std::sort(ranked.begin(), ranked.end(),
-              [&](auto const& a, auto const& b) {
-                  return rendezvous_weight(key, a.str()) >
-                         rendezvous_weight(key, b.str());
-              });
-    auto const backlog = [this](base::cell_id const& cell) -> std::size_t
-    {
-        auto const found = entries_.find(cell);
-        return found == entries_.end() ? 0 : found->second.waiting_in_cell();
-    };
-    if (ranked.size() > 1 &&
-        backlog(ranked[0]) > backlog(ranked[1]) + spill_margin)
+    for (auto const& cell : cells)
     {
-        return ranked[1];
+        auto const weight = rendezvous_weight(key, cell.str());
+        auto const near_least =
+            waiting_ahead(cell, item.tier_, now) <= least + spill_margin;
+        if (near_least && (best.empty() || weight > best_weight))
+        {
+            best = cell;
+            best_weight = weight;
+        }
     }
-    return ranked[0];
+    return best;
+}
+
+std::size_t coordinator::waiting_ahead(base::cell_id const& cell,
+                                       base::tier tier,
+                                       base::time_point now) const
+{
+    auto const found = entries_.find(cell);
+    return found == entries_.end() ? 0 : found->second.waiting_ahead(tier, now);
 }
 
 cell_entry& coordinator::entry_for(base::cell_id const& cell,
@@ -384,7 +393,7 @@
 void coordinator::place(sched::work_item const& item, bool again,
                         base::time_point now)
 {
-    auto const cell = choose_cell(item);
+    auto const cell = choose_cell(item, now);
     if (cell.empty())
     {
         refuse(item.request_, sched::refusal_cause::no_target);
@@ -394,7 +403,7 @@
     auto& trace = traces_.at(item.request_);
     trace.cell_ = cell;
     trace.owner_ = map_.owner(cell).daemon_;
-    trace.waiting_ahead_ = entry.waiting_in_cell();
+    trace.waiting_ahead_ = entry.waiting_ahead(item.tier_, now);
     cell_of_[item.request_] = cell;
     if (again)
     {
--- a/src/cell/coordinator.hpp
+++ b/src/cell/coordinator.hpp
@@ -95,7 +95,10 @@
     void tell_leaving(base::cell_id const& cell, cell_owner& owner,
                       base::time_point now) const;
 
-    base::cell_id choose_cell(sched::work_item const& item) const;
+    base::cell_id choose_cell(sched::work_item const& item,
+                              base::time_point now) const;
+    std::size_t waiting_ahead(base::cell_id const& cell, base::tier tier,
+                              base::time_point now) const;
     cell_entry& entry_for(base::cell_id const& cell, base::time_point now);
     void place(sched::work_item const& item, bool again, base::time_point now);
     void refuse(base::request_id request, sched::refusal_cause cause);
--- a/src/cell/messages.hpp
+++ b/src/cell/messages.hpp
@@ -3,6 +3,7 @@
 #include "src/base/error.hpp"
 #include "src/sched/types.hpp"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -91,6 +92,9 @@
     bool used_ = false;
 };
 
+/// Requests of each tier.
+using tier_counts = std::array<std::uint32_t, base::max_tiers>;
+
 /// Owner to each entry that has requests waiting: sign of life and permission.
 struct cell_heartbeat
 {
@@ -101,7 +105,7 @@
     /// How long the permission lasts.
     base::duration valid_for_{};
     /// Requests waiting in the cell.
-    std::uint32_t waiting_ = 0;
+    tier_counts waiting_{};
 };
 
 /// Owner to entry: does the entry still hold these?
--- a/src/cell/wire.hpp
+++ b/src/cell/wire.hpp
@@ -258,7 +258,10 @@
     strong_number(archive, m.epoch_);
     tier(archive, m.permitted_);
     span(archive, m.valid_for_);
-    archive(m.waiting_);
+    for (auto& waiting : m.waiting_)
+    {
+        archive(waiting);
+    }
 }
 
 template <class Archive>
--- a/tests/cell/coordinator_test.cpp
+++ b/tests/cell/coordinator_test.cpp
@@ -122,6 +122,35 @@
     LONGS_EQUAL(1, in_flight_at_owner());
 }
 
+TEST(coordinator, higher_tier_spills_to_the_cell_where_only_lower_ones_wait)
+{
+    // Two cells, one slot a target, all of it for one workspace.
+    cluster_.set_config(cell::small_configuration(17, 1));
+    cluster_.run_for(1s);
+    auto const cells = cluster_.at(0).map().cells().size();
+    LONGS_EQUAL(2, cells);
+    auto const cell_of = [this](base::request_id request)
+    {
+        return cluster_.at(entry_).explain(request)->cell_;
+    };
+    auto const first = cell_of(cluster_.submit(entry_, 0));
+    auto spilled = first;
+    for (int i = 0; i < 40 && spilled == first; ++i)
+    {
+        spilled = cell_of(cluster_.submit(entry_, 0));
+        cluster_.run_for(10ms);
+    }
+    CHECK(spilled != first);
+    for (int i = 0; i < 40; ++i)
+    {
+        cluster_.submit(entry_, 1);
+    }
+    cluster_.run_for(1s);
+    // Lower tiers wait in both by now and make no difference to the higher.
+    auto const status = cluster_.at(entry_).explain(cluster_.submit(entry_, 0));
+    CHECK(status->waiting_ahead_ <= 10);
+}
+
 TEST(coordinator, pool_without_targets_is_refused)
 {
     cluster_.set_config(cell::small_configuration(0, 1));
--- a/tests/cell/messages_test.cpp
+++ b/tests/cell/messages_test.cpp
@@ -59,7 +59,8 @@
                                    2s,
                                    true},
             cell::decision_answer{id, {7, 8}, 9, true},
-            cell::cell_heartbeat{id, cell::cell_epoch{3}, base::tier{1}, 1s, 4},
+            cell::cell_heartbeat{
+                id, cell::cell_epoch{3}, base::tier{1}, 1s, {4, 5}},
             cell::status_query{id, {{1, 2}, {3, 4}}},
             cell::not_held{id, {{1, 2}}}};
 }
