--- a/tests/cell/cluster.cpp
+++ b/tests/cell/cluster.cpp
@@ -278,6 +278,7 @@
 void cluster::send(std::size_t from, std::size_t to, std::string const& payload)
 {
     ++datagrams_;
+    bytes_ += payload.size();
     auto const copies = random_.uniform() < faults_.doubled_ ? 2 : 1;
     for (int i = 0; i < copies; ++i)
     {
--- a/tests/cell/cluster.hpp
+++ b/tests/cell/cluster.hpp
@@ -82,6 +82,8 @@
     }
     std::vector<recorded_decision> take_new_decisions();
     std::size_t datagrams() const { return datagrams_; }
+    /// Payloads only; the envelope adds to each datagram.
+    std::size_t bytes() const { return bytes_; }
 
 private:
     struct datagram
@@ -121,6 +123,7 @@
     std::vector<recorded_decision> decisions_;
     std::size_t taken_ = 0;
     std::size_t datagrams_ = 0;
+    std::size_t bytes_ = 0;
 };
 
 } // namespace tanagerlead::cell
