Read the host list on a thread of its own

Loads and the host list were read one after the other on one thread, so each target that hung held the list up for its read timeout, and a leaving target went on getting work. Shorter timeouts were ruled out: they would only make the delay smaller. There are two threads now.

--- a/src/cell/scheduling_service.cpp
+++ b/src/cell/scheduling_service.cpp
@@ -55,10 +55,15 @@
     own.has_host_list_ = settings_.read_hosts_ != nullptr;
     coordinator_ = std::make_unique<coordinator>(std::move(own));
     control_.run([this] { connect(); });
-    observer_ = std::thread{[this]
-                            {
-                                observe();
-                            }};
+    // A target that hangs must not keep the list from being read.
+    list_observer_ = std::thread{[this]
+                                 {
+                                     watch_list();
+                                 }};
+    load_observer_ = std::thread{[this]
+                                 {
+                                     watch_loads();
+                                 }};
     return base::success();
 }
 
@@ -68,8 +73,9 @@
         std::lock_guard const lock{observer_mutex_};
         observer_stopping_ = true;
     }
-    observer_wake_.notify_one();
-    observer_.join();
+    observer_wake_.notify_all();
+    list_observer_.join();
+    load_observer_.join();
     control_.run([this] { refuse_waiting(); });
 }
 
@@ -393,39 +399,46 @@
     if (begins)
     {
         // Grants wait for the first reading.
-        observer_wake_.notify_one();
+        observer_wake_.notify_all();
     }
 }
 
-void scheduling_service::observe()
+void scheduling_service::watch_list()
 {
-    auto next_loads = base::time_point::min();
-    auto next_hosts = base::time_point::min();
+    auto next = base::time_point::min();
     std::unique_lock lock{observer_mutex_};
     while (!observer_stopping_)
     {
         auto const now = control_.now();
-        auto const hosts_due = std::exchange(hosts_are_due_, false) ||
-                               (watches_hosts_ && now >= next_hosts);
-        lock.unlock();
-        if (hosts_due)
+        auto const due = std::exchange(hosts_are_due_, false) ||
+                         (watches_hosts_ && now >= next);
+        if (due)
         {
-            next_hosts = now + settings_.hosts_interval_;
+            next = now + settings_.hosts_interval_;
+            lock.unlock();
             observe_hosts();
+            lock.lock();
         }
-        if (now >= next_loads)
-        {
-            next_loads = now + settings_.load_interval_;
-            observe_store();
-            observe_loads();
-        }
-        lock.lock();
         observer_wake_.wait_for(
-            lock, settings_.load_interval_,
+            lock, settings_.hosts_interval_,
             [this] { return observer_stopping_ || hosts_are_due_; });
     }
 }
 
+void scheduling_service::watch_loads()
+{
+    std::unique_lock lock{observer_mutex_};
+    while (!observer_stopping_)
+    {
+        lock.unlock();
+        observe_store();
+        observe_loads();
+        lock.lock();
+        observer_wake_.wait_for(lock, settings_.load_interval_,
+                                [this] { return observer_stopping_; });
+    }
+}
+
 void scheduling_service::observe_store()
 {
     if (settings_.store_reachable_)
--- a/src/cell/scheduling_service.hpp
+++ b/src/cell/scheduling_service.hpp
@@ -27,7 +27,7 @@
         config::target_config const&)>
         read_load_;
     /// Reads the platform's host list, for targets that are leaving.
-    /// Blocking; the same thread. None: there is no such list.
+    /// Blocking; on another thread. None: there is no such list.
     std::function<base::result<std::vector<platform::listed_host>>()>
         read_hosts_;
     /// Whether the configuration store could be reached lately. Any thread.
@@ -109,7 +109,8 @@
     void publish();
 
     void watch_hosts(bool watch);
-    void observe();
+    void watch_list();
+    void watch_loads();
     void observe_store();
     void observe_loads();
     void observe_hosts();
@@ -141,7 +142,8 @@
     bool watches_hosts_ = false;
     bool hosts_are_due_ = false;
     std::vector<config::target_config> observed_targets_;
-    std::thread observer_;
+    std::thread list_observer_;
+    std::thread load_observer_;
 };
 
 } // namespace tanagerlead::cell
--- a/tests/cell/scheduling_service_test.cpp
+++ b/tests/cell/scheduling_service_test.cpp
@@ -182,22 +182,32 @@
         host.state_ = platform::host_state::leaving;
         return std::vector<platform::listed_host>{host};
     };
-    std::promise<void> observed;
-    settings.read_load_ = [&](config::target_config const& target)
+    // A target that hangs does not keep the list from being read.
+    std::promise<void> let_go;
+    auto const held = let_go.get_future().share();
+    settings.read_load_ = [held](config::target_config const& target)
         -> base::result<sched::target_load>
     {
-        // The second reading of the loads comes after one of the hosts.
+        held.wait();
+        return sched::target_load{target.id_, 0, 0, {}};
+    };
+    std::promise<void> read_again;
+    auto const read_once = settings.read_hosts_;
+    settings.read_hosts_ = [this, read_once, &read_again]
+    {
+        // The second reading comes after the first was posted.
         if (++readings_ == 2)
         {
-            observed.set_value();
+            read_again.set_value();
         }
-        return sched::target_load{target.id_, 0, 0, {}};
+        return read_once();
     };
-    settings.load_interval_ = std::chrono::milliseconds{1};
+    settings.hosts_interval_ = std::chrono::milliseconds{1};
     begin(std::move(settings));
-    observed.get_future().wait();
+    read_again.get_future().wait();
     auto waiting = submit(item());
     CHECK(control_.run([] {}));
+    let_go.set_value();
     service_->stop();
     auto const decided = waiting.get();
     CHECK(std::holds_alternative<request::refuse>(decided));
