--- a/tests/cell/cluster.cpp
+++ b/tests/cell/cluster.cpp
@@ -1,5 +1,6 @@
 #include "tests/cell/cluster.hpp"
 
+#include "src/cell/timing.hpp"
 #include "tests/cell/fifo_scheduler.hpp"
 
 #include <algorithm>
@@ -13,6 +14,11 @@
 constexpr std::size_t most_payload_bytes = 1200;
 } // namespace
 
+std::unique_ptr<sched::cell_scheduler> make_fifo_scheduler()
+{
+    return std::make_unique<fifo_scheduler>();
+}
+
 config::configuration small_configuration(int targets, int slots)
 {
     config::configuration made;
@@ -37,8 +43,10 @@
     return made;
 }
 
-cluster::cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list)
-    : random_{seed}, has_host_list_{has_host_list}
+cluster::cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list,
+                 scheduler_factory make_scheduler)
+    : random_{seed}, has_host_list_{has_host_list}, make_scheduler_{std::move(
+                                                        make_scheduler)}
 {
     config_ = std::make_shared<config::configuration const>(
         small_configuration(2, 2));
@@ -49,6 +57,7 @@
         start(i);
     }
     spread_members();
+    run_for(timing::settling_time);
 }
 
 void cluster::start(std::size_t i)
@@ -60,10 +69,7 @@
     settings.has_host_list_ = has_host_list_;
     settings.self_ = nodes_[i].life_;
     settings.data_centre_ = base::data_centre_id{"brest"};
-    settings.make_scheduler_ = []
-    {
-        return std::make_unique<fifo_scheduler>();
-    };
+    settings.make_scheduler_ = make_scheduler_;
     nodes_[i].coordinator_ = std::make_unique<coordinator>(std::move(settings));
     at(i).on_config(config_, now_);
 }
@@ -130,17 +136,21 @@
 
 void cluster::spread_members()
 {
-    auto const view = members();
     for (std::size_t i = 0; i < size(); ++i)
     {
         if (runs(i))
         {
-            at(i).on_members(view, now_);
-            advance(i);
+            show_members(i);
         }
     }
 }
 
+void cluster::show_members(std::size_t i)
+{
+    at(i).on_members(members(), now_);
+    advance(i);
+}
+
 sched::work_item cluster::item(base::request_id request) const
 {
     return items_.at(request);
@@ -268,6 +278,7 @@
 void cluster::send(std::size_t from, std::size_t to, std::string const& payload)
 {
     ++datagrams_;
+    bytes_ += payload.size();
     auto const copies = random_.uniform() < faults_.doubled_ ? 2 : 1;
     for (int i = 0; i < copies; ++i)
     {
--- a/tests/cell/cluster.hpp
+++ b/tests/cell/cluster.hpp
@@ -27,13 +27,16 @@
     base::time_point when_;
 };
 
+std::unique_ptr<sched::cell_scheduler> make_fifo_scheduler();
+
 config::configuration small_configuration(int targets, int slots);
 
 /// A few coordinators, their datagrams and a clock. No hosts, no engines.
 class cluster
 {
 public:
-    cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list = false);
+    cluster(std::size_t nodes, std::uint64_t seed, bool has_host_list = false,
+            scheduler_factory make_scheduler = make_fifo_scheduler);
 
     base::time_point now() const { return now_; }
     void set_config(config::configuration const& configuration);
@@ -47,6 +50,8 @@
     void freeze(std::size_t node, bool frozen);
     /// All daemons that run learn at once who is alive.
     void spread_members();
+    /// Only this one learns.
+    void show_members(std::size_t node);
     void set_state(std::size_t node, membership::member_state state);
 
     base::request_id submit(std::size_t node, int tier = 0);
@@ -77,6 +82,8 @@
     }
     std::vector<recorded_decision> take_new_decisions();
     std::size_t datagrams() const { return datagrams_; }
+    /// Payloads only; the envelope adds to each datagram.
+    std::size_t bytes() const { return bytes_; }
 
 private:
     struct datagram
@@ -103,6 +110,7 @@
 
     base::random_source random_;
     bool has_host_list_;
+    scheduler_factory make_scheduler_;
     base::time_point now_{std::chrono::hours{1}};
     std::vector<daemon_node> nodes_;
     std::uint64_t last_origin_ = 100;
@@ -115,6 +123,7 @@
     std::vector<recorded_decision> decisions_;
     std::size_t taken_ = 0;
     std::size_t datagrams_ = 0;
+    std::size_t bytes_ = 0;
 };
 
 } // namespace tanagerlead::cell
