Show operators the fleet, drain targets and explain requests

Operators could change the configuration and see nothing of what it led to.

A drain is a patch of the configuration, so that it outlives the daemons. A switch kept in the daemons was ruled out: it would be lost with them. After a conflict the drain is tried again on the newer version, five times at most, and one that changes nothing writes no version. A draining target counts as none, so the drain that would leave a workspace without any target gets 422 and says so; a pool alone may be left empty.

What only a cell's owner knows is null at other daemons rather than zero. Stragglers, quarantine and hosts that leave are not in the cell's status, so they are not shown. Histograms and the outcome told to the caller are still missing: both need a reader in the caller API.

Callers' open calls were limited to 960 whatever the server's threads were. The limit now follows caller_threads, less one in 16 and at least two, so the least that the settings accept is 2 threads, before 1. No test loads a daemon up to that limit.

--- a/src/config/settings_file.cpp
+++ b/src/config/settings_file.cpp
@@ -15,7 +15,7 @@
 
 using nlohmann::json;
 
-constexpr integer_range threads_range{1, 65'536};
+constexpr integer_range threads_range{2, 65'536};
 
 struct level_name
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,8 +6,10 @@
 #include "src/config/config_service.hpp"
 #include "src/config/settings_file.hpp"
 #include "src/daemon/http_service.hpp"
+#include "src/daemon/operator_views.hpp"
 #include "src/daemon/peer_copies.hpp"
 #include "src/http/config_api.hpp"
+#include "src/http/drain_api.hpp"
 #include "src/http/target_probe.hpp"
 #include "src/kernel/kernel.hpp"
 #include "src/platform/etcd_store.hpp"
@@ -17,6 +19,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace tanagerlead
@@ -77,6 +80,16 @@
     return base::incarnation{static_cast<std::uint64_t>(ms)};
 }
 
+/// Callers' calls served at one time, so that threads are left for refusals
+/// and for operators.
+int open_calls_of(int threads)
+{
+    constexpr int reserved_share = 16;
+    constexpr int least_reserved = 2;
+    auto const reserved = std::max(threads / reserved_share, least_reserved);
+    return std::max(threads - reserved, 1);
+}
+
 } // namespace
 
 class daemon::impl
@@ -97,7 +110,7 @@
     void add_scheduling();
     void add_http();
     cell::scheduling_settings scheduling();
-    std::vector<http::daemon_version> versions_in_force();
+    void make_operator_apis();
 
     config::settings settings_;
     membership::member self_;
@@ -108,6 +121,9 @@
     peer_sockets sockets_;
     std::unique_ptr<platform::host_list> host_list_;
     std::unique_ptr<http::config_api> config_api_;
+    std::unique_ptr<http::drain_api> drain_api_;
+    std::unique_ptr<http::status_api> status_api_;
+    std::unique_ptr<daemon_parts::operator_views> views_;
     kernel::kernel services_;
 };
 
@@ -237,34 +253,32 @@
     callers.daemon_ = self_.daemon_;
     callers.origin_ = self_.origin_;
     callers.seed_ = base::entropy();
-    auto& configuration = services_.find<config::config_service>(
-        config::config_service::service_name);
-    config_api_ = std::make_unique<http::config_api>(
-        configuration, http::operator_guard{settings_.operator_key_hash_},
-        [this] { return versions_in_force(); });
+    callers.most_open_calls_ = open_calls_of(settings_.caller_threads_);
+    make_operator_apis();
     std::vector<daemon_parts::http_service::add_routes> operator_apis;
-    operator_apis.push_back([this](httplib::Server& server)
-                            { config_api_->add_routes(server); });
+    operator_apis.push_back(
+        [this](httplib::Server& server)
+        {
+            config_api_->add_routes(server);
+            drain_api_->add_routes(server);
+            status_api_->add_routes(server);
+        });
     services_.add(daemon_parts::http_service::service_name,
                   std::make_unique<daemon_parts::http_service>(
                       std::move(server_), callers, claims_, clock_,
                       std::move(operator_apis)));
 }
 
-std::vector<http::daemon_version> daemon::impl::versions_in_force()
+void daemon::impl::make_operator_apis()
 {
-    auto& members = services_.find<peer::membership_service>(
-        peer::membership_service::service_name);
-    // The answers are there by the time the operator asks again.
-    members.survey();
-    std::vector<http::daemon_version> versions;
-    for (auto const& m : members.current()->members_)
-    {
-        versions.push_back({m.daemon_, m.data_centre_,
-                            membership::to_string(m.state_),
-                            m.config_version_});
-    }
-    return versions;
+    auto& configuration = services_.find<config::config_service>(
+        config::config_service::service_name);
+    http::operator_guard const guard{settings_.operator_key_hash_};
+    views_ = std::make_unique<daemon_parts::operator_views>(services_);
+    config_api_ = std::make_unique<http::config_api>(
+        configuration, guard, [this] { return views_->versions(); });
+    drain_api_ = std::make_unique<http::drain_api>(configuration, guard);
+    status_api_ = std::make_unique<http::status_api>(views_->readers(), guard);
 }
 
 bool daemon::impl::drain(base::duration longest)
--- a/src/http/config_api.cpp
+++ b/src/http/config_api.cpp
@@ -1,6 +1,7 @@
 #include "src/http/config_api.hpp"
 
 #include "src/config/json_text.hpp"
+#include "src/http/operator_answer.hpp"
 
 #include <boost/outcome/try.hpp>
 #include <httplib.h>
@@ -16,32 +17,11 @@
 
 using nlohmann::json;
 
-constexpr int status_conflict = 409;
-constexpr int status_unprocessable = 422;
-
 std::uint64_t number(base::config_version version)
 {
     return static_cast<std::uint64_t>(version);
 }
 
-void answer(httplib::Response& out, json const& body, int status = 200)
-{
-    out.status = status;
-    out.set_content(body.dump(-1, ' ', false, json::error_handler_t::replace),
-                    "application/json");
-}
-
-json write_errors(std::vector<config::field_error> const& errors)
-{
-    auto out = json::array();
-    for (auto const& error : errors)
-    {
-        out.push_back(
-            {{"pointer", error.pointer_}, {"message", error.message_}});
-    }
-    return out;
-}
-
 /// JSON text as a value; null where there was none.
 json value_of(std::string const& text)
 {
@@ -61,13 +41,6 @@
     return out;
 }
 
-void answer_invalid(httplib::Response& out,
-                    std::vector<config::field_error> const& errors)
-{
-    answer(out, {{"status", "invalid"}, {"errors", write_errors(errors)}},
-           status_unprocessable);
-}
-
 base::result<base::config_version> parse_version(std::string const& text)
 {
     std::uint64_t value = 0;
@@ -180,18 +153,19 @@
     switch (submitted.status_)
     {
     case config::submit_status::accepted:
-        answer(out, {{"status", "accepted"},
-                     {"version", number(submitted.version_)}});
+        answer_operator(out, {{"status", "accepted"},
+                              {"version", number(submitted.version_)}});
         return;
     case config::submit_status::conflict:
-        answer(out,
-               {{"status", "conflict"},
-                {"version", number(submitted.version_)},
-                {"message", submitted.patch_id_reused_
-                                ? "the patch id was used for another patch"
-                                : "the base is not the current version"},
-                {"changes", write_changes(submitted.changes_)}},
-               status_conflict);
+        answer_operator(
+            out,
+            {{"status", "conflict"},
+             {"version", number(submitted.version_)},
+             {"message", submitted.patch_id_reused_
+                             ? "the patch id was used for another patch"
+                             : "the base is not the current version"},
+             {"changes", write_changes(submitted.changes_)}},
+            operator_status_conflict);
         return;
     case config::submit_status::invalid:
         answer_invalid(out, submitted.errors_);
@@ -243,8 +217,9 @@
         }
         wanted = read.value().configuration_;
     }
-    answer(out, {{"version", number(wanted->version_)},
-                 {"configuration", config::write_configuration(*wanted)}});
+    answer_operator(out,
+                    {{"version", number(wanted->version_)},
+                     {"configuration", config::write_configuration(*wanted)}});
 }
 
 void config_api::validate(httplib::Request const& in, httplib::Response& out)
@@ -277,10 +252,10 @@
         answer_invalid(out, checked.errors_);
         return;
     }
-    answer(out, {{"status", "valid"},
-                 {"version", number(base->version_)},
-                 {"changes", write_changes(config::list_changes(
-                                 *base, checked.configuration_))}});
+    answer_operator(out, {{"status", "valid"},
+                          {"version", number(base->version_)},
+                          {"changes", write_changes(config::list_changes(
+                                          *base, checked.configuration_))}});
 }
 
 void config_api::patch(httplib::Request const& in, httplib::Response& out)
@@ -325,7 +300,7 @@
         versions.push_back(
             {{"version", number(head.version_)}, {"patch_id", head.patch_id_}});
     }
-    answer(out, {{"versions", versions}});
+    answer_operator(out, {{"versions", versions}});
 }
 
 void config_api::in_force(httplib::Request const& /*in*/,
@@ -346,7 +321,7 @@
             everywhere = std::min(everywhere, number(each.version_));
         }
     }
-    answer(
+    answer_operator(
         out,
         {{"version", own}, {"everywhere", everywhere}, {"daemons", daemons}});
 }
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -294,6 +294,13 @@
     return counts;
 }
 
+std::map<std::string, int> fleet::dispatches_to(int engine) const
+{
+    std::map<std::string, int> counts;
+    count_requests(*engines_.at(engine), counts);
+    return counts;
+}
+
 std::map<std::string, int> fleet::runs_by_key() const
 {
     std::map<std::string, int> counts;
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -89,6 +89,8 @@
     static void set_faults(child_process const& fake, std::string const& json);
     /// How often each request reached a target, from the fakes' logs.
     std::map<std::string, int> dispatches() const;
+    /// The same of one engine.
+    std::map<std::string, int> dispatches_to(int engine) const;
     /// How often each idempotency key ran, from the services' logs.
     std::map<std::string, int> runs_by_key() const;
     /// Waits until `count` requests run or wait in all engines.
--- a/tools/operator/command.cpp
+++ b/tools/operator/command.cpp
@@ -49,6 +49,16 @@
 
 } // namespace
 
+std::vector<command> all_commands()
+{
+    std::vector<command> all;
+    for (auto const table : {config_commands(), fleet_commands()})
+    {
+        all.insert(all.end(), table.begin(), table.end());
+    }
+    return all;
+}
+
 exit_code run_command(std::span<command const> commands,
                       std::vector<std::string> const& words,
                       operator_client const& client, options const& flags,
--- a/tools/operator/command.hpp
+++ b/tools/operator/command.hpp
@@ -51,9 +51,12 @@
     exit_code (*run_)(context const&);
 };
 
-/// `config get|patch|validate|history|diff`. Other parts have tables of their
-/// own beside it.
+/// `config get|patch|validate|history|diff`.
 std::span<command const> config_commands();
+/// `status`, `targets`, `drain`, `undrain`, `explain`.
+std::span<command const> fleet_commands();
+/// All of the tables, in the order of the help.
+std::vector<command> all_commands();
 
 /// Finds the command whose name `words` begin with and runs it. Prints the
 /// help when there is none.
--- a/tools/tanagerlead.cpp
+++ b/tools/tanagerlead.cpp
@@ -124,7 +124,7 @@
 /// The operators' command line.
 int main(int argc, char** argv)
 {
-    auto const commands = operator_tool::config_commands();
+    auto const commands = operator_tool::all_commands();
     absl::SetProgramUsageMessage(operator_tool::help(commands));
     std::vector<std::string> words{argv, argv + argc};
     auto assignments = take_assignments(words);
