Pass over entries that are silent

Cause: an owner went on granting to an entry that had died or frozen. Its waiting requests of a higher tier stood before those of live entries, no grant was taken up, and each counted as in flight until the entry was known to be dead and 20 s more.

An entry that leaves a decision unanswered for 300 ms and says nothing else is passed over: its waiting requests leave the scheduler and return, with the time they were received, once it is heard of and its lapsed grants are settled. A grant that was never answered lapses after 1 s of silence; the entry's later answer books it again, so an entry that used it after all is only a moment's over-subscription and never a second dispatch.

The test of an old grant for a leaving target read the grant from the owner's count after 3 s of silence, where it no longer stands by design; it now reads it right after the grant, and checks too that the count is back to none.

--- a/src/cell/cell_owner.cpp
+++ b/src/cell/cell_owner.cpp
@@ -75,12 +75,104 @@
         scheduler_->withdraw(request, now);
         erase(request);
     }
+    std::erase_if(contacts_, [&](auto const& one)
+                  { return !origins.contains(one.first); });
+    std::erase_if(returned_,
+                  [&](auto origin) { return !origins.contains(origin); });
+}
+
+void cell_owner::heard(daemon_life const& from, base::time_point now)
+{
+    auto& contact = contacts_[from.origin_];
+    contact.heard_ = now;
+    if (std::exchange(contact.is_passed_over_, false))
+    {
+        returned_.insert(from.origin_);
+    }
+}
+
+void cell_owner::put_back_returned(base::time_point now)
+{
+    for (auto i = returned_.begin(); i != returned_.end();)
+    {
+        // Lapsed grants that it used after all are booked before more is
+        // granted.
+        if (has_lapsed(*i))
+        {
+            ++i;
+            continue;
+        }
+        put_back(*i, now);
+        i = returned_.erase(i);
+    }
+}
+
+bool cell_owner::has_lapsed(std::uint64_t origin) const
+{
+    auto i = held_.lower_bound({origin, 0});
+    while (i != held_.end() && i->first.origin_ == origin &&
+           i->second.stage_ != stage::lapsed)
+    {
+        ++i;
+    }
+    return i != held_.end() && i->first.origin_ == origin;
+}
+
+void cell_owner::put_back(std::uint64_t origin, base::time_point now)
+{
+    for (auto i = held_.lower_bound({origin, 0});
+         i != held_.end() && i->first.origin_ == origin; ++i)
+    {
+        if (i->second.stage_ == stage::passed_over)
+        {
+            scheduler_->enqueue(i->second.item_, now);
+            set_stage(i->second, stage::queued);
+        }
+    }
+}
+
+void cell_owner::note_silence(held_request& held, base::time_point now)
+{
+    auto const origin = held.decision_.request_.origin_;
+    auto const silence =
+        now - std::max(held.decided_at_, contacts_[origin].heard_);
+    if (silence >= timing::entry_silence)
+    {
+        pass_over(origin, now);
+    }
+    // It may have used the grant all the same: then its word books it again,
+    // and the target has one more than its limit for a moment.
+    if (held.stage_ == stage::granted && silence >= timing::grant_lifetime)
+    {
+        release(held, sched::dispatch_event::declined, now);
+        set_stage(held, stage::lapsed);
+    }
+}
+
+void cell_owner::pass_over(std::uint64_t origin, base::time_point now)
+{
+    auto& contact = contacts_[origin];
+    if (std::exchange(contact.is_passed_over_, true))
+    {
+        return;
+    }
+    returned_.erase(origin);
+    for (auto i = held_.lower_bound({origin, 0});
+         i != held_.end() && i->first.origin_ == origin; ++i)
+    {
+        if (i->second.stage_ == stage::queued)
+        {
+            scheduler_->withdraw(i->first, now);
+            set_stage(i->second, stage::passed_over);
+        }
+    }
 }
 
 void cell_owner::on_update(daemon_life const& from,
                            request_update const& update, base::time_point now,
                            std::vector<outgoing_message>& out)
 {
+    heard(from, now);
     auto const ended = ended_.find(update.request_);
     if (ended != ended_.end() && ended->second >= update.revision_)
     {
@@ -262,9 +354,15 @@
            held.stage_ == stage::orphaned;
 }
 
+bool cell_owner::is_waiting(held_request const& held) const
+{
+    return held.stage_ == stage::queued || held.stage_ == stage::passed_over;
+}
+
 void cell_owner::on_answer(daemon_life const& from,
                            decision_answer const& answer, base::time_point now)
 {
+    heard(from, now);
     auto const found = held_.find(answer.request_);
     if (found == held_.end() || found->second.entry_ != from.daemon_ ||
         found->second.decision_.number_ != answer.number_)
@@ -272,6 +370,11 @@
         return;
     }
     auto& held = found->second;
+    if (held.stage_ == stage::lapsed && answer.used_)
+    {
+        scheduler_->adopt(held.item_, held.target_, now);
+        set_stage(held, stage::granted);
+    }
     if (held.stage_ == stage::granted && answer.used_)
     {
         set_stage(held, stage::running);
@@ -282,7 +385,8 @@
     {
         release(held, sched::dispatch_event::declined, now);
     }
-    if (held.stage_ == stage::idle || held.stage_ == stage::refused)
+    if (held.stage_ == stage::idle || held.stage_ == stage::lapsed ||
+        held.stage_ == stage::refused)
     {
         erase(answer.request_);
     }
@@ -291,6 +395,7 @@
 void cell_owner::on_not_held(daemon_life const& from, not_held const& lost,
                              base::time_point now)
 {
+    heard(from, now);
     for (auto const& request : lost.requests_)
     {
         auto const found = held_.find(request);
@@ -316,6 +421,7 @@
     {
         run_timer(*request, now, out);
     }
+    put_back_returned(now);
     send_queries(now, out);
     actions_.clear();
     if (now >= grants_from())
@@ -351,8 +457,7 @@
     for (auto const& [request, held] : held_)
     {
         auto const tier = base::index(held.item_.tier_);
-        if (held.stage_ == stage::queued &&
-            tier < counts.waiting_by_tier_.size())
+        if (is_waiting(held) && tier < counts.waiting_by_tier_.size())
         {
             ++counts.waiting_by_tier_[tier];
         }
@@ -427,7 +532,9 @@
     switch (held.stage_)
     {
     case stage::granted:
+    case stage::lapsed:
     case stage::refused:
+        note_silence(held, now);
         resend(held, now, out);
         break;
     case stage::orphaned:
@@ -436,6 +543,7 @@
         break;
     case stage::idle:
     case stage::queued:
+    case stage::passed_over:
     case stage::running:
         queries_[held.entry_].push_back(request);
         timers_.set(request, now + timing::query_interval);
--- a/src/cell/cell_owner.hpp
+++ b/src/cell/cell_owner.hpp
@@ -68,9 +68,13 @@
         /// Known, and neither waiting nor in flight here.
         idle,
         queued,
+        /// Waiting at an entry that is silent; not in the scheduler.
+        passed_over,
         /// Granted; the entry has not answered.
         granted,
         running,
+        /// Granted to an entry that stayed silent; no longer in flight here.
+        lapsed,
         /// Refused; the entry has not answered.
         refused,
         /// In flight at an entry that died.
@@ -96,8 +100,21 @@
         base::time_point until_;
     };
 
+    /// What is known of the life of an entry.
+    struct entry_contact
+    {
+        base::time_point heard_;
+        bool is_passed_over_ = false;
+    };
+
     using held_map = std::map<base::request_id, held_request>;
 
+    void heard(daemon_life const& from, base::time_point now);
+    void note_silence(held_request& held, base::time_point now);
+    void pass_over(std::uint64_t origin, base::time_point now);
+    void put_back_returned(base::time_point now);
+    void put_back(std::uint64_t origin, base::time_point now);
+    bool has_lapsed(std::uint64_t origin) const;
     void adopt_update(held_request& held, request_update const& update,
                       base::time_point now);
     void apply_reports(held_request& held, request_update const& update,
@@ -113,6 +130,7 @@
     void set_stage(held_request& held, stage next);
     base::time_point grants_from() const;
     bool occupies_target(held_request const& held) const;
+    bool is_waiting(held_request const& held) const;
 
     void acknowledge(daemon_life const& to, request_update const& update,
                      revision known, std::vector<outgoing_message>& out) const;
@@ -139,6 +157,10 @@
     base::time_point held_until_ = base::time_point::min();
     held_map held_;
     timer_queue<base::request_id> timers_;
+    /// By the origin of the entry's life.
+    std::map<std::uint64_t, entry_contact> contacts_;
+    /// Lives heard of again whose requests are not yet put back.
+    std::set<std::uint64_t> returned_;
     /// Entries with requests queued here, and how many.
     std::map<base::daemon_id, std::size_t> queued_by_entry_;
     base::time_point next_heartbeat_;
--- a/src/cell/timing.hpp
+++ b/src/cell/timing.hpp
@@ -25,6 +25,9 @@
 constexpr base::duration settling_time = 100ms;
 /// An entry may use a grant within this time of its first sending.
 constexpr base::duration grant_lifetime = 1s;
+/// An entry that leaves a decision unanswered for so long, and says nothing
+/// else, is passed over until it is heard of again.
+constexpr base::duration entry_silence = 300ms;
 /// Before an entry asks again after declining a grant it cannot use.
 constexpr base::duration pause_after_decline = 100ms;
 
--- a/tests/cell/failure_test.cpp
+++ b/tests/cell/failure_test.cpp
@@ -234,6 +234,59 @@
     LONGS_EQUAL(4, in_flight(owner_));
 }
 
+TEST(failure, silent_entry_holds_up_nobody)
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        cluster_.submit(entry_);
+    }
+    cluster_.run_for(20ms);
+    LONGS_EQUAL(4, decided());
+    cluster_.freeze(entry_, true);
+    auto const behind = cluster_.submit(other_, 1);
+    cluster_.run_for(20ms);
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        // As if the answers had come just before the entry went silent.
+        auto const& granted = cluster_.decisions()[i];
+        cell::request_update ended;
+        ended.cell_ = cluster_.at(owner_).map().cells().begin()->first;
+        ended.request_ = granted.decided_.request_;
+        ended.revision_ = cell::revision{1000};
+        ended.state_ = cell::request_state::ended;
+        cluster_.at(owner_).on_message(cluster_.life(entry_), ended,
+                                       cluster_.now());
+    }
+    cluster_.run_for(cell::timing::grant_lifetime + 300ms);
+    LONGS_EQUAL(5, decided());
+    CHECK(last().decided_.request_ == behind);
+    LONGS_EQUAL(12, waiting(owner_));
+    LONGS_EQUAL(1, in_flight(owner_));
+}
+
+TEST(failure, silent_entry_that_comes_back_is_served_again)
+{
+    for (int i = 0; i < 6; ++i)
+    {
+        cluster_.submit(entry_);
+    }
+    cluster_.run_for(0ms);
+    cluster_.freeze(entry_, true);
+    cluster_.run_for(cell::timing::grant_lifetime + 300ms);
+    LONGS_EQUAL(0, decided());
+    LONGS_EQUAL(0, in_flight(owner_));
+    // It uses the grants it finds; each is booked again.
+    cluster_.freeze(entry_, false);
+    cluster_.run_for(100ms);
+    LONGS_EQUAL(4, decided());
+    LONGS_EQUAL(4, in_flight(owner_));
+    LONGS_EQUAL(2, waiting(owner_));
+    finish(0);
+    cluster_.run_for(20ms);
+    LONGS_EQUAL(5, decided());
+    CHECK(last().decided_.by_ == cluster_.life(owner_));
+}
+
 TEST(failure, grant_that_arrives_too_late_is_not_used)
 {
     cluster_.submit(entry_);
@@ -256,10 +309,12 @@
     cluster_.submit(entry_, 1);
     cluster_.run_for(0ms);
     cut_off_owner(true);
-    cluster_.run_for(cell::timing::grant_lifetime + 2s);
-    LONGS_EQUAL(0, decided());
+    cluster_.run_for(10ms);
     auto const granted = targets_in_use(owner_);
     LONGS_EQUAL(1, granted.size());
+    cluster_.run_for(cell::timing::grant_lifetime + 2s);
+    LONGS_EQUAL(0, decided());
+    LONGS_EQUAL(0, in_flight(owner_));
     cluster_.read_hosts(owner_, granted);
     cut_off_owner(false);
     cluster_.run_for(1s);
