Spread suspicions between daemons

Cause: what an owner held against a request that ends targets stayed in its scheduler. Another cell let the same request through, and the owner's death forgot it.

Each daemon now keeps what is known and gives it to its own cells, also to one it has just taken over.

Standing shares do not use suspicions yet.

--- a/src/cell/cell_owner.hpp
+++ b/src/cell/cell_owner.hpp
@@ -40,6 +40,7 @@
 
     void configure(sched::cell_settings const& settings);
     void observe(sched::target_load const& load, base::time_point now);
+    sched::cell_scheduler& scheduler() { return *scheduler_; }
     /// Nothing is granted or refused before then.
     void hold_until(base::time_point when) { held_until_ = when; }
     void set_leaving(base::target_id const& target, bool leaving,
--- a/src/cell/coordinator.cpp
+++ b/src/cell/coordinator.cpp
@@ -164,6 +164,10 @@
         {
             handle(settings_.self_, one, now, pending_);
         }
+        if (suspicions_.next_due() <= now)
+        {
+            exchange_suspicions(now);
+        }
         for (auto& [id, entry] : entries_)
         {
             entry.advance(now, pending_);
@@ -183,7 +187,7 @@
 
 base::time_point coordinator::next_wakeup() const
 {
-    auto next = base::time_point::max();
+    auto next = suspicions_.next_due();
     for (auto const& [id, entry] : entries_)
     {
         next = std::min(next, entry.next_wakeup());
@@ -252,13 +256,19 @@
     take_and_drop_cells(now);
     configure_entries(now);
     lives_.clear();
+    std::vector<base::daemon_id> peers;
     for (auto const& m : members_->members_)
     {
         if (!is_gone(m))
         {
             lives_.insert(m.origin_);
+            if (m.daemon_ != settings_.self_.daemon_)
+            {
+                peers.push_back(m.daemon_);
+            }
         }
     }
+    suspicions_.set_peers(std::move(peers));
     for (auto& [id, owner] : owned_)
     {
         owner.keep_lives(lives_, now);
@@ -282,6 +292,8 @@
                              settings_.make_scheduler_(), now};
             found = owned_.emplace(id, std::move(fresh)).first;
             configure(id, found->second);
+            found->second.scheduler().import_suspicions(suspicions_.known(now),
+                                                        now);
             found->second.hold_until(leaving_.usable_from(now));
         }
         tell_leaving(id, found->second, now);
@@ -450,6 +462,7 @@
     if (owner != nullptr && m.request_.origin_ == from.origin_)
     {
         owner->on_update(from, m, now, out.messages_);
+        suspicions_.on_reports(m.reports_);
     }
 }
 
@@ -519,6 +532,31 @@
     }
 }
 
+void coordinator::handle(daemon_life const& /*from*/, suspicion_notice const& m,
+                         base::time_point now, entry_output& /*out*/)
+{
+    std::vector<sched::suspicion> const heard{m.suspicion_};
+    suspicions_.learn(heard, now);
+    for (auto& [id, owner] : owned_)
+    {
+        owner.scheduler().import_suspicions(heard, now);
+    }
+}
+
+void coordinator::exchange_suspicions(base::time_point now)
+{
+    for (auto& [id, owner] : owned_)
+    {
+        suspicions_.learn(owner.scheduler().export_suspicions(now), now);
+    }
+    auto const known = suspicions_.known(now);
+    for (auto& [id, owner] : owned_)
+    {
+        owner.scheduler().import_suspicions(known, now);
+    }
+    suspicions_.tell(now, pending_.messages_);
+}
+
 cell_owner* coordinator::owner_of(base::cell_id const& cell)
 {
     auto const found = owned_.find(cell);
--- a/src/cell/coordinator.hpp
+++ b/src/cell/coordinator.hpp
@@ -2,6 +2,7 @@
 
 #include "src/cell/cell_entry.hpp"
 #include "src/cell/isolation.hpp"
+#include "src/cell/suspicion_exchange.hpp"
 #include "src/cell/trace_log.hpp"
 
 #include <deque>
@@ -120,6 +121,9 @@
                 base::time_point now, entry_output& out);
     void handle(daemon_life const& from, not_held const& m,
                 base::time_point now, entry_output& out);
+    void handle(daemon_life const& from, suspicion_notice const& m,
+                base::time_point now, entry_output& out);
+    void exchange_suspicions(base::time_point now);
     cell_owner* owner_of(base::cell_id const& cell);
     cell_entry* entry_of(base::cell_id const& cell);
 
@@ -138,6 +142,7 @@
     bool is_leaving_ = false;
 
     std::map<base::cell_id, cell_owner> owned_;
+    suspicion_exchange suspicions_;
     std::uint64_t last_epoch_ = 0;
     revision_counter revisions_;
     std::map<base::cell_id, cell_entry> entries_;
--- a/src/cell/messages.hpp
+++ b/src/cell/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/base/error.hpp"
+#include "src/sched/quarantine.hpp"
 #include "src/sched/types.hpp"
 
 #include <array>
@@ -122,9 +123,15 @@
     std::vector<base::request_id> requests_;
 };
 
-using message =
-    std::variant<request_update, update_acknowledgement, decision_message,
-                 decision_answer, cell_heartbeat, status_query, not_held>;
+/// Daemon to daemon: what it holds against requests of one fingerprint.
+struct suspicion_notice
+{
+    sched::suspicion suspicion_;
+};
+
+using message = std::variant<request_update, update_acknowledgement,
+                             decision_message, decision_answer, cell_heartbeat,
+                             status_query, not_held, suspicion_notice>;
 
 /// Bounds on what a message may carry.
 struct message_limits
--- a/src/cell/wire.hpp
+++ b/src/cell/wire.hpp
@@ -278,4 +278,22 @@
     requests(archive, m.requests_);
 }
 
+template <class Archive>
+void fields(Archive& archive, suspicion_notice& m, context const& /*c*/)
+{
+    auto& suspicion = m.suspicion_;
+    archive(suspicion.fingerprint_);
+    auto size = suspicion.deaths_.size();
+    count(archive, size, sched::quarantine::deaths_for_quarantine);
+    suspicion.deaths_.resize(size);
+    for (auto& death : suspicion.deaths_)
+    {
+        name(archive, death.target_);
+        span(archive, death.age_);
+        // Nothing is known of the future.
+        require(death.age_ >= base::duration::zero());
+    }
+    span(archive, suspicion.cleared_age_);
+}
+
 } // namespace tanagerlead::cell::wire
--- a/tests/cell/cluster.cpp
+++ b/tests/cell/cluster.cpp
@@ -156,7 +156,8 @@
     return items_.at(request);
 }
 
-base::request_id cluster::submit(std::size_t i, int tier)
+base::request_id cluster::submit(std::size_t i, int tier,
+                                 std::uint64_t fingerprint)
 {
     sched::work_item item;
     item.request_ = {life(i).origin_, ++last_sequence_};
@@ -164,6 +165,7 @@
     item.workspace_ = base::workspace_id{"brest"};
     item.pool_ = base::pool_id{"report"};
     item.tier_ = base::tier{static_cast<std::uint8_t>(tier)};
+    item.fingerprint_ = fingerprint;
     item.received_ = now_;
     items_[item.request_] = item;
     at(i).submit(item, now_);
--- a/tests/cell/cluster.hpp
+++ b/tests/cell/cluster.hpp
@@ -54,7 +54,8 @@
     void show_members(std::size_t node);
     void set_state(std::size_t node, membership::member_state state);
 
-    base::request_id submit(std::size_t node, int tier = 0);
+    base::request_id submit(std::size_t node, int tier = 0,
+                            std::uint64_t fingerprint = 0);
     sched::work_item item(base::request_id request) const;
     void withdraw(std::size_t node, base::request_id request);
     void report(std::size_t node, base::request_id request,
--- a/tests/cell/messages_test.cpp
+++ b/tests/cell/messages_test.cpp
@@ -62,7 +62,8 @@
             cell::cell_heartbeat{
                 id, cell::cell_epoch{3}, base::tier{1}, 1s, {4, 5}},
             cell::status_query{id, {{1, 2}, {3, 4}}},
-            cell::not_held{id, {{1, 2}}}};
+            cell::not_held{id, {{1, 2}}},
+            cell::suspicion_notice{{7, {{base::target_id{"r1"}, 3s}}, 1s}}};
 }
 
 std::string encoded()
