--- a/src/config/page.hpp
+++ b/src/config/page.hpp
@@ -19,7 +19,7 @@
 };
 
 /// Mean size that pages are split for; the service takes up to a megabyte.
-constexpr std::size_t page_bytes = std::size_t{64} << 10U;
+constexpr std::size_t page_bytes = std::size_t{16} << 10U;
 
 /// How many pages a section of `bytes` has, given its present count. Always
 /// a power of two, and changed only when the mean size is far off, so that an
