--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -68,10 +68,11 @@
     }
 }
 
-json target(child_process const& fake, char const* pool, int number, int slots)
+json target(base::address const& address, char const* pool, int number,
+            int slots)
 {
     return {{"pools", {pool}},
-            {"address", fake.http().str()},
+            {"address", address.str()},
             {"data_centre", data_centre(number)},
             {"generation", 1},
             {"slots", slots},
@@ -197,10 +198,7 @@
     host_list_.emplace(FAKE_HOST_LIST, std::vector<std::string>{});
     for (int i = 0; i < settings_.engines_; ++i)
     {
-        auto flags = settings_.engine_flags_;
-        flags.push_back("--slots=" + std::to_string(settings_.slots_));
-        engines_.emplace_back(std::in_place, FAKE_ENGINE, flags);
-        if (!engines_.back()->is_ready())
+        if (!start_engine())
         {
             return false;
         }
@@ -217,6 +215,27 @@
     return key_value_->is_ready() && host_list_->is_ready();
 }
 
+bool fleet::start_engine()
+{
+    auto flags = settings_.engine_flags_;
+    flags.push_back("--slots=" + std::to_string(settings_.slots_));
+    engines_.emplace_back(std::in_place, FAKE_ENGINE, flags);
+    if (!settings_.relayed_ || !engines_.back()->is_ready())
+    {
+        return engines_.back()->is_ready();
+    }
+    std::vector<std::string> const far{"--far=" +
+                                       engines_.back()->http().str()};
+    relays_.emplace_back(std::in_place, FAKE_RELAY, far);
+    return relays_.back()->is_ready();
+}
+
+base::address const& fleet::engine_address(int number) const
+{
+    return settings_.relayed_ ? relays_.at(number)->http()
+                              : engines_.at(number)->http();
+}
+
 bool fleet::start_daemon(int number)
 {
     while (daemons_.size() <= static_cast<std::size_t>(number))
@@ -280,6 +299,27 @@
     client(fake.control()).Post("/fake/faults", faults, "application/json");
 }
 
+void fleet::order_relays(std::string const& order) const
+{
+    for (auto const& each : relays_)
+    {
+        client(each->control()).Post("/fake/relay", order, "application/json");
+    }
+}
+
+void fleet::list_engine(int number, char const* state) const
+{
+    json const labels{{"host", name("e", number)},
+                      {"data_centre", data_centre(number)},
+                      {"state", state}};
+    json listed = json::array();
+    listed.push_back(
+        {{"targets", {engine_address(number).str()}}, {"labels", labels}});
+    client(host_list_->http())
+        .Post("/fake/hosts", json{{"hosts", listed}}.dump(),
+              "application/json");
+}
+
 std::map<std::string, int> fleet::dispatches() const
 {
     std::map<std::string, int> counts;
@@ -333,13 +373,14 @@
 
 bool fleet::wait_for_version(int daemon, int version) const
 {
-    return wait_until(
-        [&]
-        {
-            auto const got = operate(daemon, "GET", "config", {});
-            auto const body = json::parse(got.body_, nullptr, false);
-            return body.is_object() && body.value("version", 0) == version;
-        });
+    return wait_until([&] { return this->version(daemon) == version; });
+}
+
+int fleet::version(int daemon) const
+{
+    auto const got = operate(daemon, "GET", "config", {});
+    auto const body = json::parse(got.body_, nullptr, false);
+    return body.is_object() ? body.value("version", 0) : 0;
 }
 
 std::string fleet::expected_text(question const& asked)
@@ -362,12 +403,12 @@
     for (int i = 0; i < settings_.engines_; ++i)
     {
         made["targets"][name("engine", i)] =
-            target(*engines_[i], "report", i, settings_.slots_);
+            target(engine_address(i), "report", i, settings_.slots_);
     }
     for (int i = 0; i < settings_.services_; ++i)
     {
         made["targets"][name("service", i)] =
-            target(*services_[i], "till", i, settings_.slots_);
+            target(services_[i]->http(), "till", i, settings_.slots_);
     }
     made["groups"]["brittany"] = {
         {"data_centres", {"brest", "quimper", "lorient"}}};
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -52,6 +52,8 @@
     int slots_ = 4;
     std::vector<std::string> engine_flags_;
     std::string policy_ = "tanagerlead";
+    /// A relay stands between the daemons and each engine.
+    bool relayed_ = false;
 };
 
 /// Daemons before fakes, all processes of their own, with the workspaces
@@ -71,6 +73,7 @@
 
     child_process& daemon(int number) { return daemons_.at(number).value(); }
     child_process& engine(int number) { return engines_.at(number).value(); }
+    child_process& relay(int number) { return relays_.at(number).value(); }
     child_process& service(int number) { return services_.at(number).value(); }
     child_process& key_value() { return *key_value_; }
     child_process& host_list() { return *host_list_; }
@@ -87,6 +90,10 @@
                  std::string const& merge) const;
 
     static void set_faults(child_process const& fake, std::string const& json);
+    /// Gives an order to the relay before each engine.
+    void order_relays(std::string const& json) const;
+    /// Lists one engine, and no other target, with this state.
+    void list_engine(int number, char const* state) const;
     /// How often each request reached a target, from the fakes' logs.
     std::map<std::string, int> dispatches() const;
     /// The same of one engine.
@@ -96,6 +103,8 @@
     /// Waits until `count` requests run or wait in all engines.
     bool wait_for_dispatches(std::size_t count) const;
     bool wait_until_ready(int daemon) const;
+    /// The version that the daemon has in force; 0 when it cannot tell.
+    int version(int daemon) const;
     /// Waits until the daemon has this version in force.
     bool wait_for_version(int daemon, int version) const;
 
@@ -105,12 +114,15 @@
     std::string configuration() const;
     std::string settings_file(int number) const;
     bool start_fakes();
+    bool start_engine();
+    base::address const& engine_address(int number) const;
 
     fleet_settings settings_;
     std::string folder_;
     std::optional<child_process> key_value_;
     std::optional<child_process> host_list_;
     std::deque<std::optional<child_process>> engines_;
+    std::deque<std::optional<child_process>> relays_;
     std::deque<std::optional<child_process>> services_;
     std::deque<std::optional<child_process>> daemons_;
 };
