--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -112,7 +112,7 @@
         learn(news, now);
         if (message.kind_ == swim_kind::state && unheard_of)
         {
-            drop_rumour(news.daemon_);
+            rumours_.drop(news.daemon_);
         }
     }
     struct handler
@@ -270,14 +270,7 @@
 
 void swim::tell(member const& news)
 {
-    drop_rumour(news.daemon_);
-    rumours_.push_back({news, 0});
-}
-
-void swim::drop_rumour(base::daemon_id const& daemon)
-{
-    std::erase_if(rumours_, [&daemon](rumour const& old)
-                  { return old.member_.daemon_ == daemon; });
+    rumours_.add(news);
 }
 
 void swim::tell_self()
@@ -494,7 +487,8 @@
     message.digest_ = digest();
     if (message.updates_.empty())
     {
-        message.updates_ = pick_rumours();
+        message.updates_ =
+            rumours_.pick(swim_message::most_updates, most_sends());
     }
     outgoing_.push_back({to, std::move(message)});
 }
@@ -568,25 +562,6 @@
     return chosen;
 }
 
-std::vector<member> swim::pick_rumours()
-{
-    auto const fewer_sends = [](rumour const& a, rumour const& b)
-    {
-        return a.sent_ < b.sent_;
-    };
-    std::stable_sort(rumours_.begin(), rumours_.end(), fewer_sends);
-    std::vector<member> picked;
-    auto const count = std::min(rumours_.size(), swim_message::most_updates);
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        picked.push_back(rumours_[i].member_);
-        ++rumours_[i].sent_;
-    }
-    std::erase_if(rumours_, [limit = most_sends()](rumour const& r)
-                  { return r.sent_ >= limit; });
-    return picked;
-}
-
 list_digest swim::digest() const
 {
     list_digest sum{};
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/random.hpp"
 #include "src/base/units.hpp"
+#include "src/membership/rumour_list.hpp"
 #include "src/membership/swim_message.hpp"
 #include "src/membership/view.hpp"
 
@@ -103,13 +104,6 @@
         base::time_point expires_;
     };
 
-    /// News still to be spread, with how often it has been sent.
-    struct rumour
-    {
-        member member_;
-        int sent_ = 0;
-    };
-
     void handle_ping(base::address const& from, swim_message const& message);
     void handle_ack(base::address const& from, swim_message const& message);
     void handle_ping_request(base::address const& from,
@@ -122,7 +116,6 @@
     void adopt(member const& news, base::time_point now);
     void set_state(record& known, member_state state, base::time_point now);
     void tell(member const& news);
-    void drop_rumour(base::daemon_id const& daemon);
     void tell_self();
 
     void absorb_pause(base::time_point now);
@@ -139,7 +132,6 @@
     void repair(base::address const& to, list_digest const& theirs);
     void ping_suspect(record& suspect, base::time_point now);
     std::vector<base::address> random_members(std::size_t count);
-    std::vector<member> pick_rumours();
     list_digest digest() const;
     int most_sends() const;
 
@@ -148,7 +140,7 @@
     base::random_source random_;
     std::vector<base::address> seeds_;
     absl::flat_hash_map<base::daemon_id, record> records_;
-    std::vector<rumour> rumours_;
+    rumour_list rumours_;
     std::vector<base::daemon_id> probe_order_;
     std::optional<probe> probe_;
     absl::flat_hash_map<std::uint64_t, relayed_ping> relayed_;
--- a/tools/lib/scenarios.sh
+++ b/tools/lib/scenarios.sh
@@ -74,7 +74,7 @@
     burst_3x) mix 3 ;;
     small_alone) scenario "${small[@]}" ;;
     large_neighbour)
-        scenario "${small[@]}" "$(model_load a silver 1.5)"
+        scenario "${small[@]}" "$(model_load b silver 1.5)"
         ;;
     threads)
         scenario "$(thread_load a gold 0.35)" "$(thread_load b silver 0.35)"
