--- a/bench/claims_bench.cpp
+++ b/bench/claims_bench.cpp
@@ -1,5 +1,5 @@
 #include "src/base/histogram.hpp"
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 #include "src/request/kv_claim_store.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 
@@ -91,7 +91,7 @@
             std::chrono::system_clock::now().time_since_epoch());
     }
 
-    platform::etcd_settings start_service()
+    external::etcd_settings start_service()
     {
         auto const started = fake_.start();
         if (!started)
@@ -99,7 +99,7 @@
             std::fprintf(stderr, "%s\n", started.error().str().c_str());
             std::exit(1);
         }
-        platform::etcd_settings settings;
+        external::etcd_settings settings;
         settings.endpoints_ = {fake_.local_address()};
         return settings;
     }
@@ -140,7 +140,7 @@
     double rate_;
     base::steady_clock clock_;
     fakes::fake_key_value fake_;
-    platform::etcd_store store_;
+    external::etcd_store store_;
     std::vector<std::unique_ptr<request::kv_claim_store>> daemons_;
     base::time_point start_{};
     std::atomic<int> next_{0};
--- a/src/platform/base64.cpp
+++ b/src/base/base64.cpp
@@ -1,8 +1,8 @@
-#include "src/platform/base64.hpp"
+#include "src/base/base64.hpp"
 
 #include <openssl/evp.h>
 
-namespace tanagerlead::platform
+namespace tanagerlead::base
 {
 
 namespace
@@ -55,4 +55,4 @@
     return bytes;
 }
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::base
--- a/src/platform/base64.hpp
+++ b/src/base/base64.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace tanagerlead::platform
+namespace tanagerlead::base
 {
 
 /// Standard base64 with padding, as the JSON gateway of etcd writes bytes.
@@ -13,4 +13,4 @@
 /// Nothing when `text` is not base64.
 std::optional<std::string> base64_decode(std::string_view text);
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::base
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,7 @@
 #include "src/base/log.hpp"
 
+#include "src/base/pipe_appender.hpp"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -8,6 +10,8 @@
 #include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 namespace tanagerlead::base
 {
 
@@ -60,16 +64,33 @@
         "%d{%H:%M:%S.%q} %-5p %c: %m%n");
 }
 
+/// Null unless logs go to standard output.
+log4cplus::helpers::SharedObjectPtr<pipe_appender>& output_appender()
+{
+    static log4cplus::helpers::SharedObjectPtr<pipe_appender> appender;
+    return appender;
+}
+
+log4cplus::SharedAppenderPtr make_appender(log_output output)
+{
+    if (output == log_output::standard_output)
+    {
+        output_appender() = new pipe_appender{STDOUT_FILENO};
+        return log4cplus::SharedAppenderPtr{output_appender().get()};
+    }
+    constexpr bool log_to_stderr = true;
+    constexpr bool flush_each_line = true;
+    return log4cplus::SharedAppenderPtr{
+        new log4cplus::ConsoleAppender{log_to_stderr, flush_each_line}};
+}
+
 } // namespace
 
 void start_logging(log_settings const& settings)
 {
     // Lives until the process exits; all threads that log have ended by then.
     static log4cplus::Initializer const initializer;
-    constexpr bool log_to_stderr = true;
-    constexpr bool flush_each_line = true;
-    log4cplus::SharedAppenderPtr appender{
-        new log4cplus::ConsoleAppender{log_to_stderr, flush_each_line}};
+    auto appender = make_appender(settings.output_);
     appender->setLayout(make_layout(settings.layout_));
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
@@ -77,6 +98,17 @@
     root.setLogLevel(native(settings.level_));
 }
 
+void flush_log()
+{
+    auto const appender = output_appender();
+    if (appender)
+    {
+        // As for `append`, which loggers call under this lock.
+        log4cplus::thread::MutexGuard const guard{appender->access_mutex};
+        appender->flush();
+    }
+}
+
 log::log(std::string part) : part_{std::move(part)}
 {
 }
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -24,15 +24,28 @@
     json_lines,
 };
 
+enum class log_output
+{
+    /// Each line at once.
+    standard_error,
+    /// In batches, and never waiting for the reader: lines may be left out,
+    /// which a later line tells. `flush_log` is to be called now and then.
+    standard_output,
+};
+
 struct log_settings
 {
     log_level level_ = log_level::info;
     log_layout layout_ = log_layout::text;
+    log_output output_ = log_output::standard_error;
 };
 
-/// Sends all logs to standard error. Called once, before any thread starts.
+/// Called once, before any thread starts.
 void start_logging(log_settings const& settings);
 
+/// Writes what waits for standard output. Any thread.
+void flush_log();
+
 /// The log of one part, for example "sched".
 class log
 {
--- a/src/cell/scheduling_service.cpp
+++ b/src/cell/scheduling_service.cpp
@@ -484,9 +484,9 @@
 }
 
 void scheduling_service::apply_hosts(
-    std::vector<platform::listed_host> const& hosts)
+    std::vector<external::listed_host> const& hosts)
 {
-    std::map<base::address, platform::host_state> states;
+    std::map<base::address, external::host_state> states;
     for (auto const& host : hosts)
     {
         states[host.address_] = host.state_;
@@ -497,7 +497,7 @@
         auto const found = states.find(target.address_);
         // A target that the lagging list lacks may be new.
         if (found != states.end() &&
-            found->second == platform::host_state::leaving)
+            found->second == external::host_state::leaving)
         {
             leaving.insert(target.id_);
         }
--- a/src/cell/scheduling_service.hpp
+++ b/src/cell/scheduling_service.hpp
@@ -4,7 +4,7 @@
 #include "src/config/source.hpp"
 #include "src/kernel/control_thread.hpp"
 #include "src/peer/messenger.hpp"
-#include "src/platform/host_list.hpp"
+#include "src/external/host_list.hpp"
 #include "src/request/dispatcher.hpp"
 
 #include <atomic>
@@ -28,7 +28,7 @@
         read_load_;
     /// Reads the platform's host list, for targets that are leaving.
     /// Blocking; on another thread. None: there is no such list.
-    std::function<base::result<std::vector<platform::listed_host>>()>
+    std::function<base::result<std::vector<external::listed_host>>()>
         read_hosts_;
     /// Whether the configuration store could be reached lately. Any thread.
     /// None: it counts as reachable.
@@ -114,7 +114,7 @@
     void observe_store();
     void observe_loads();
     void observe_hosts();
-    void apply_hosts(std::vector<platform::listed_host> const& hosts);
+    void apply_hosts(std::vector<external::listed_host> const& hosts);
 
     scheduling_settings settings_;
     kernel::control_thread& control_;
--- a/src/config/config_service.cpp
+++ b/src/config/config_service.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 config_service::config_service(base::daemon_id self,
-                               platform::key_value_store& store,
+                               external::key_value_store& store,
                                std::uint64_t seed)
     : store_{store}, versions_{store}, self_{std::move(self)}, seed_{seed}
 {
@@ -203,7 +203,7 @@
         });
 }
 
-void config_service::take_watched(platform::key_value_entry const& entry)
+void config_service::take_watched(external::key_value_entry const& entry)
 {
     auto const told = decode_head(entry.value_);
     if (told)
--- a/src/config/config_service.hpp
+++ b/src/config/config_service.hpp
@@ -31,7 +31,7 @@
         base::address const& peer, std::string const& request)>;
 
     /// `store` must outlive the service.
-    config_service(base::daemon_id self, platform::key_value_store& store,
+    config_service(base::daemon_id self, external::key_value_store& store,
                    std::uint64_t seed);
 
     /// Before start; without it only the key-value service is asked.
@@ -79,13 +79,13 @@
     void order_watch(bool hold);
     void order_poll();
     void order_fetch(fetch_order const& order);
-    void take_watched(platform::key_value_entry const& entry);
+    void take_watched(external::key_value_entry const& entry);
     void take_version(base::config_version version);
     void take_fetched(base::result<stored_configuration> fetched);
     void publish(stored_configuration version);
     stored latest() const;
 
-    platform::key_value_store& store_;
+    external::key_value_store& store_;
     config_store versions_;
     peer_fetch fetch_from_peer_;
     base::daemon_id self_;
@@ -103,7 +103,7 @@
     stored latest_;
 
     /// Owned by `store_thread_`.
-    std::unique_ptr<platform::key_value_watch> watch_;
+    std::unique_ptr<external::key_value_watch> watch_;
     task_thread store_thread_;
     task_thread peer_thread_;
 };
--- a/src/config/config_store.cpp
+++ b/src/config/config_store.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-using platform::commit_outcome;
-using platform::key_value_write;
+using external::commit_outcome;
+using external::key_value_write;
 
 constexpr std::size_t largest_value_bytes = std::size_t{900} << 10U;
 /// Sent in one write; the service bounds requests by size and count.
--- a/src/config/config_store.hpp
+++ b/src/config/config_store.hpp
@@ -4,7 +4,7 @@
 #include "src/config/head.hpp"
 #include "src/config/page.hpp"
 #include "src/config/patch.hpp"
-#include "src/platform/key_value.hpp"
+#include "src/external/key_value.hpp"
 
 #include <memory>
 #include <optional>
@@ -72,7 +72,7 @@
 class config_store
 {
 public:
-    explicit config_store(platform::key_value_store& store) : store_{store} {}
+    explicit config_store(external::key_value_store& store) : store_{store} {}
 
     /// Version 0 when nothing was ever written.
     base::result<head> read_head();
@@ -110,12 +110,12 @@
                                       stored_configuration const& base,
                                       configuration const& wanted);
     base::result<void> write_pages(attempt const& from);
-    base::result<platform::commit_outcome> swap_head(attempt const& from);
+    base::result<external::commit_outcome> swap_head(attempt const& from);
     base::result<submit_answer> settle(patch_request const& request);
     void discard_pages(attempt const& from);
     void collect_garbage(base::config_version accepted);
 
-    platform::key_value_store& store_;
+    external::key_value_store& store_;
 };
 
 } // namespace tanagerlead::config
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -12,8 +12,8 @@
 #include "src/http/drain_api.hpp"
 #include "src/http/target_probe.hpp"
 #include "src/kernel/kernel.hpp"
-#include "src/platform/etcd_store.hpp"
-#include "src/platform/http_host_list.hpp"
+#include "src/external/etcd_store.hpp"
+#include "src/external/http_host_list.hpp"
 #include "src/request/kv_claim_store.hpp"
 #include "src/sched/cell_scheduler.hpp"
 
@@ -115,11 +115,11 @@
     config::settings settings_;
     membership::member self_;
     base::steady_clock clock_;
-    platform::etcd_store store_;
+    external::etcd_store store_;
     request::kv_claim_store claims_;
     std::unique_ptr<http::server> server_;
     peer_sockets sockets_;
-    std::unique_ptr<platform::host_list> host_list_;
+    std::unique_ptr<external::host_list> host_list_;
     std::unique_ptr<http::config_api> config_api_;
     std::unique_ptr<http::drain_api> drain_api_;
     std::unique_ptr<http::status_api> status_api_;
@@ -128,7 +128,7 @@
 };
 
 daemon::impl::impl(config::settings settings)
-    : settings_{std::move(settings)}, store_{platform::etcd_settings{
+    : settings_{std::move(settings)}, store_{external::etcd_settings{
                                           settings_.key_value_, {}}},
       claims_{store_, clock_, milliseconds_since_epoch}
 {
@@ -139,8 +139,8 @@
     self_.origin_ = base::entropy();
     if (!settings_.host_list_.empty())
     {
-        host_list_ = std::make_unique<platform::http_host_list>(
-            settings_.host_list_, platform::http_timeouts{});
+        host_list_ = std::make_unique<external::http_host_list>(
+            settings_.host_list_, external::http_timeouts{});
     }
 }
 
--- /dev/null
+++ b/src/entry/configuration_reader.cpp
@@ -0,0 +1,64 @@
+#include "src/entry/configuration_reader.hpp"
+
+namespace tanagerlead::entry
+{
+
+void configuration_reader::on_items(std::vector<store_item> const& items)
+{
+    on_changes(items);
+}
+
+void configuration_reader::on_changes(std::vector<store_item> const& items)
+{
+    for (auto const& item : items)
+    {
+        if (!item.removed_ && item.key_ == protocol_.configuration_key())
+        {
+            on_document(item.value_, "store");
+        }
+    }
+}
+
+void configuration_reader::on_store_lost(base::error const& why)
+{
+    log_.write(line_kind::control,
+               log_line{"Store lost."}.with("reason", why.str()), net::now());
+}
+
+void configuration_reader::on_store_back()
+{
+    log_.write(line_kind::control, log_line{"Store is back."}, net::now());
+}
+
+void configuration_reader::on_document(std::string const& document,
+                                       std::string const& source)
+{
+    auto const read = protocol_.read_configuration(document);
+    if (!read)
+    {
+        log_.write(line_kind::control,
+                   log_line{"Configuration is malformed."}
+                       .with("source", source)
+                       .with("reason", read.error().str()),
+                   net::now());
+        return;
+    }
+    auto const& fresh = read.value();
+    if (has_any_ && fresh->version() <= version_)
+    {
+        return;
+    }
+    has_any_ = true;
+    version_ = fresh->version();
+    document_ = document;
+    log_.write(line_kind::control,
+               log_line{"Configuration in force."}
+                   .with("version", static_cast<std::int64_t>(version_))
+                   .with("source", source)
+                   .with("routes",
+                         static_cast<std::int64_t>(fresh->routes().size())),
+               net::now());
+    publish_(fresh);
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/configuration_reader.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "src/entry/event_log.hpp"
+#include "src/entry/protocol.hpp"
+#include "src/entry/store_follower.hpp"
+
+namespace tanagerlead::entry
+{
+
+/// Keeps the newest configuration that was seen, from the store or another
+/// daemon. Its version only rises.
+class configuration_reader final : public store_reader
+{
+public:
+    using published = std::function<void(routing::configuration_ptr)>;
+
+    configuration_reader(protocol const& speech, published publish)
+        : protocol_{speech}, publish_{std::move(publish)}
+    {
+    }
+
+    void on_items(std::vector<store_item> const& items) override;
+    void on_changes(std::vector<store_item> const& items) override;
+    void on_store_lost(base::error const& why) override;
+    void on_store_back() override;
+
+    void on_document(std::string const& document, std::string const& source);
+    std::string const& document() const { return document_; }
+    base::config_version version() const { return version_; }
+
+private:
+    protocol const& protocol_;
+    published publish_;
+    event_log log_{"config"};
+    std::string document_;
+    base::config_version version_{};
+    bool has_any_ = false;
+};
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/daemon_registration.cpp
@@ -0,0 +1,129 @@
+#include "src/entry/daemon_registration.hpp"
+
+namespace tanagerlead::entry
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string const prefix = "tanagerlead/daemons/";
+/// Outlives three missed renewals.
+constexpr base::duration lease_time = 10s;
+constexpr base::duration renewal_interval = 3s;
+/// After a failed call.
+constexpr base::duration retry_interval = 1s;
+
+} // namespace
+
+daemon_registration::daemon_registration(net::asio::io_context& loop,
+                                         metadata_store& store,
+                                         std::string name, std::string ip,
+                                         published publish)
+    : store_{store}, name_{std::move(name)}, ip_{std::move(ip)},
+      publish_{std::move(publish)}, alarm_{loop, [this] { on_alarm(); }}
+{
+}
+
+void daemon_registration::start()
+{
+    on_alarm();
+}
+
+void daemon_registration::on_alarm()
+{
+    if (leaving_)
+    {
+        return;
+    }
+    alarm_.set_after(retry_interval);
+    if (lease_)
+    {
+        renew();
+    }
+    else
+    {
+        register_again();
+    }
+}
+
+void daemon_registration::register_again()
+{
+    store_.grant_lease(
+        lease_time,
+        [this](base::result<store_lease> granted)
+        {
+            if (!granted || leaving_)
+            {
+                return;
+            }
+            auto const lease = granted.value();
+            store_.put(prefix + name_, ip_, lease,
+                       [this, lease](base::result<void> written)
+                       {
+                           // A lease without its key ends by itself.
+                           if (written)
+                           {
+                               lease_ = lease;
+                           }
+                           read();
+                       });
+        });
+}
+
+void daemon_registration::renew()
+{
+    store_.renew_lease(
+        *lease_,
+        [this](base::result<void> renewed)
+        {
+            if (!renewed &&
+                renewed.error().code_ == base::error_code::not_found)
+            {
+                log_.write(line_kind::control, log_line{"Lease lapsed."},
+                           net::now());
+                lease_.reset();
+                return;
+            }
+            if (renewed)
+            {
+                read();
+            }
+        });
+}
+
+void daemon_registration::read()
+{
+    store_.list(prefix, "", true,
+                [this](base::result<store_page> page)
+                {
+                    if (!page)
+                    {
+                        return;
+                    }
+                    std::vector<std::string> ips;
+                    for (auto const& item : page.value().items_)
+                    {
+                        ips.push_back(item.value_);
+                    }
+                    alarm_.set_after(renewal_interval);
+                    publish_(std::move(ips));
+                });
+}
+
+void daemon_registration::leave(std::function<void()> done)
+{
+    leaving_ = true;
+    alarm_.clear();
+    if (!lease_)
+    {
+        done();
+        return;
+    }
+    store_.end_lease(*lease_,
+                     [done = std::move(done)](base::result<void> const&)
+                     { done(); });
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/entry_daemon.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "src/entry/control.hpp"
+#include "src/entry/traffic.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <thread>
+
+namespace tanagerlead::entry
+{
+
+/// Makes the store's client on the loop that uses it.
+using store_factory = std::function<std::unique_ptr<metadata_store>(
+    net::asio::io_context&, base::address const&)>;
+
+/// One process: control state on one thread, callers and targets on another.
+class entry_daemon
+{
+public:
+    /// `speech` outlives it. `settings_path` is read again on SIGHUP.
+    entry_daemon(settings s, std::string settings_path, protocol const& speech,
+                 store_factory const& make_store);
+    ~entry_daemon();
+
+    /// Runs until a planned stop; false when it could not start.
+    bool run();
+
+private:
+    void wait_for_signal();
+    void on_signal(int number);
+    void reload();
+
+    settings settings_;
+    std::string settings_path_;
+    event_log log_{"daemon"};
+    net::asio::io_context control_loop_{1};
+    net::asio::io_context traffic_loop_{1};
+    net::asio::executor_work_guard<net::asio::io_context::executor_type>
+        control_work_;
+    net::asio::executor_work_guard<net::asio::io_context::executor_type>
+        traffic_work_;
+    std::unique_ptr<metadata_store> store_;
+    traffic traffic_;
+    control control_;
+    net::asio::signal_set signals_;
+    net::alarm log_alarm_;
+    std::thread control_thread_;
+    bool leaving_ = false;
+};
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/metadata_store.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "src/base/error.hpp"
+#include "src/base/units.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace tanagerlead::entry
+{
+
+enum class store_revision : std::uint64_t
+{
+};
+
+enum class store_lease : std::uint64_t
+{
+};
+
+struct store_item
+{
+    std::string key_;
+    /// As written; empty for a removed key.
+    std::string value_;
+    store_revision revision_{};
+    bool removed_ = false;
+};
+
+/// Items by key. Pages of one listing are not a snapshot.
+struct store_page
+{
+    std::vector<store_item> items_;
+    bool has_more_ = false;
+    /// Changes after this revision may be missing.
+    store_revision revision_{};
+};
+
+struct store_changes
+{
+    std::vector<store_item> items_;
+    /// The next watch goes on from here.
+    store_revision revision_{};
+};
+
+/// The store in which lasts what must last. Calls come back on the loop that
+/// made them. Errors: `unavailable` and `not_sent` (nothing was done),
+/// `unknown_effect`, `rate_limited`, `not_found` (no such lease or history),
+/// `corrupt`.
+class metadata_store
+{
+public:
+    template <class T>
+    using answered = std::function<void(base::result<T>)>;
+
+    virtual ~metadata_store() = default;
+
+    /// May lag by seconds when `may_be_stale`, which costs less.
+    virtual void list(std::string const& prefix, std::string const& after,
+                      bool may_be_stale, answered<store_page> done) = 0;
+    /// Waits up to `wait` for changes.
+    virtual void watch(std::string const& prefix, store_revision after,
+                       base::duration wait, answered<store_changes> done) = 0;
+    virtual void grant_lease(base::duration ttl,
+                             answered<store_lease> done) = 0;
+    virtual void renew_lease(store_lease lease, answered<void> done) = 0;
+    virtual void end_lease(store_lease lease, answered<void> done) = 0;
+    virtual void put(std::string const& key, std::string const& value,
+                     store_lease lease, answered<void> done) = 0;
+};
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/registry_reader.cpp
@@ -0,0 +1,103 @@
+#include "src/entry/registry_reader.hpp"
+
+namespace tanagerlead::entry
+{
+
+registry_reader::registry_reader(net::asio::io_context& loop,
+                                 protocol const& speech, published publish)
+    : protocol_{speech}, publish_{std::move(publish)},
+      alarm_{loop, [this] { this->publish(); }}
+{
+}
+
+std::optional<routing::target_info> registry_reader::read(store_item const& item)
+{
+    auto entry = protocol_.read_target(item.key_, item.value_);
+    if (!entry)
+    {
+        log_.write(line_kind::bad_input,
+                   log_line{"Entry names no target."}
+                       .with("key", item.key_)
+                       .with("reason", entry.error().str()),
+                   net::now());
+        return std::nullopt;
+    }
+    return std::move(entry).value();
+}
+
+void registry_reader::on_items(std::vector<store_item> const& items)
+{
+    std::vector<routing::target_info> entries;
+    for (auto const& item : items)
+    {
+        if (auto entry = read(item))
+        {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    directory_.on_list(std::move(entries), net::now());
+    publish();
+}
+
+void registry_reader::on_changes(std::vector<store_item> const& items)
+{
+    auto const now = net::now();
+    for (auto const& item : items)
+    {
+        auto entry = item.removed_ ? std::nullopt : read(item);
+        if (entry)
+        {
+            directory_.on_entry(std::move(*entry), now);
+        }
+        else
+        {
+            directory_.on_removed(protocol_.target_of(item.key_), now);
+        }
+    }
+    publish();
+}
+
+void registry_reader::on_store_lost(base::error const& why)
+{
+    directory_.on_registry_lost();
+    log_.write(line_kind::control,
+               log_line{"Registry lost."}.with("reason", why.str()),
+               net::now());
+}
+
+void registry_reader::on_store_back()
+{
+    directory_.on_registry_back(net::now());
+    log_.write(line_kind::control, log_line{"Registry is back."}, net::now());
+}
+
+void registry_reader::publish()
+{
+    auto const now = net::now();
+    directory_.expire(now);
+    auto targets = directory_.targets();
+    auto const wakeup = directory_.next_wakeup();
+    if (wakeup != base::time_point::max())
+    {
+        alarm_.set(wakeup);
+    }
+    if (published_ && targets == last_)
+    {
+        return;
+    }
+    published_ = true;
+    int leaving = 0;
+    for (auto const& target : targets)
+    {
+        leaving += target.draining_ ? 1 : 0;
+    }
+    log_.write(line_kind::control,
+               log_line{"Targets changed."}
+                   .with("targets", static_cast<std::int64_t>(targets.size()))
+                   .with("leaving", leaving),
+               now);
+    last_ = targets;
+    publish_(std::move(targets));
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/settings.cpp
@@ -0,0 +1,158 @@
+#include "src/entry/settings.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace tanagerlead::entry
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Reads the fields of one object and keeps the first problem.
+class field_reader
+{
+public:
+    field_reader(json const& object, std::string path)
+        : object_{object}, path_{std::move(path)}
+    {
+    }
+
+    std::string text(char const* name)
+    {
+        auto const* const value = find(name, &json::is_string, "text");
+        return value == nullptr ? std::string{} : value->get<std::string>();
+    }
+
+    base::address address(char const* name)
+    {
+        auto const parsed = base::parse_address(text(name));
+        if (!parsed)
+        {
+            note(name, "is not an address of the form ip:port");
+            return {};
+        }
+        return parsed.value();
+    }
+
+    double number(char const* name, double least, double most)
+    {
+        auto const* const value = find(name, &json::is_number, "a number");
+        if (value == nullptr)
+        {
+            return least;
+        }
+        auto const n = value->get<double>();
+        if (n < least || n > most)
+        {
+            note(name, "is out of range");
+            return least;
+        }
+        return n;
+    }
+
+    std::vector<base::address> addresses(char const* name)
+    {
+        std::vector<base::address> out;
+        auto const* const value = find(name, &json::is_array, "a list");
+        if (value == nullptr)
+        {
+            return out;
+        }
+        for (auto const& entry : *value)
+        {
+            auto parsed = entry.is_string()
+                              ? base::parse_address(entry.get<std::string>())
+                              : base::parse_address("");
+            if (!parsed)
+            {
+                note(name, "holds something that is not ip:port");
+                return out;
+            }
+            out.push_back(std::move(parsed).value());
+        }
+        return out;
+    }
+
+    std::string const& problem() const { return problem_; }
+
+private:
+    json const* find(char const* name, bool (json::*is_kind)() const noexcept,
+                     char const* kind)
+    {
+        auto const found = object_.find(name);
+        if (found == object_.end())
+        {
+            note(name, "is missing");
+            return nullptr;
+        }
+        if (!((*found).*is_kind)())
+        {
+            note(name, std::string{"is not "} + kind);
+            return nullptr;
+        }
+        return &*found;
+    }
+
+    void note(char const* name, std::string const& what)
+    {
+        if (problem_.empty())
+        {
+            problem_ = path_ + "/" + name + " " + what;
+        }
+    }
+
+    json const& object_;
+    std::string path_;
+    std::string problem_;
+};
+
+constexpr double most_port = 65535;
+constexpr double most_descriptors = 1 << 20;
+constexpr double most_seconds = 3600;
+
+auto fail(std::string detail)
+{
+    return base::fail(base::error_code::invalid_argument, "read settings", "",
+                      std::move(detail));
+}
+
+} // namespace
+
+base::result<settings> read_settings(std::string_view text)
+{
+    auto const document = json::parse(text, nullptr, false);
+    if (!document.is_object())
+    {
+        return fail("settings are not a JSON object");
+    }
+    field_reader r{document, ""};
+    settings s;
+    s.daemon_ = base::daemon_id{r.text("daemon")};
+    s.data_centre_ = base::data_centre_id{r.text("data_centre")};
+    s.callers_ = r.address("callers");
+    s.health_ = r.address("health");
+    s.directory_ = r.address("directory");
+    s.peers_ = r.address("peers");
+    s.report_port_ =
+        static_cast<std::uint16_t>(r.number("report_port", 1, most_port));
+    s.metrics_port_ =
+        static_cast<std::uint16_t>(r.number("metrics_port", 1, most_port));
+    s.seeds_ = r.addresses("seeds");
+    s.store_ = r.address("store");
+    s.most_descriptors_ = static_cast<std::size_t>(
+        r.number("most_descriptors", 64, most_descriptors));
+    s.grace_ = base::from_seconds(r.number("grace_seconds", 0, most_seconds));
+    s.retry_ratio_ = r.number("retry_ratio", 0, 1);
+    s.retry_slack_ = r.number("retry_slack", 0, 1e9);
+    s.retry_window_ =
+        base::from_seconds(r.number("retry_window_seconds", 1, most_seconds));
+    if (!r.problem().empty())
+    {
+        return fail(r.problem());
+    }
+    return s;
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/store_follower.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "src/base/log.hpp"
+#include "src/base/random.hpp"
+#include "src/entry/metadata_store.hpp"
+#include "src/net/event_loop.hpp"
+
+namespace tanagerlead::entry
+{
+
+/// Receives the keys of one prefix.
+class store_reader
+{
+public:
+    virtual ~store_reader() = default;
+
+    /// All items, just read.
+    virtual void on_items(std::vector<store_item> const& items) = 0;
+    virtual void on_changes(std::vector<store_item> const& items) = 0;
+    /// The store does not answer; once for each outage.
+    virtual void on_store_lost(base::error const& why) = 0;
+    virtual void on_store_back() = 0;
+};
+
+/// Keeps up with one prefix of the store: reads it whole, then watches it, and
+/// reads it again when the history does not reach back far enough.
+class store_follower
+{
+public:
+    struct settings
+    {
+        std::string prefix_;
+        /// Least time between the end of a watch that brought changes and the
+        /// next one, which then brings many at once.
+        base::duration pacing_{};
+    };
+
+    /// `store` and `reader` outlive it.
+    store_follower(net::asio::io_context& loop, metadata_store& store,
+                   store_reader& reader, settings s, std::uint64_t seed);
+
+    void start() { read_page(""); }
+    void stop();
+    /// Reads now if it waits to try again.
+    void hurry();
+
+private:
+    void read_page(std::string const& after);
+    void on_page(base::result<store_page> page);
+    void watch();
+    void on_watched(base::result<store_changes> changes);
+    void fail(base::error const& why);
+    void succeed();
+
+    net::asio::io_context& loop_;
+    metadata_store& store_;
+    store_reader& reader_;
+    settings settings_;
+    base::random_source random_;
+    net::alarm alarm_;
+    std::vector<store_item> items_;
+    store_revision first_page_revision_{};
+    store_revision revision_{};
+    bool is_first_page_ = true;
+    bool is_current_ = false;
+    bool lost_ = false;
+    bool waits_to_retry_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/traffic.cpp
@@ -0,0 +1,767 @@
+#include "src/entry/traffic.hpp"
+
+#include <boost/outcome/try.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace tanagerlead::entry
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Part of the descriptors that callers may take; the rest is for targets, the
+/// store and files.
+constexpr double caller_descriptors = 0.7;
+constexpr std::size_t most_small_connections = 256;
+/// How long callers keep an answer of the directory. Short, so that they
+/// follow planned stops and deaths; asking costs little.
+constexpr base::duration directory_keep = 2s;
+/// A caller that meets a daemon without configuration tries another one.
+constexpr base::duration retry_when_starting = 300ms;
+constexpr base::duration retry_when_leaving = 50ms;
+constexpr base::duration retry_when_quarantined = 60s;
+/// A target that cannot be reached this soon after a connection broke there
+/// ended with the requests that it ran.
+constexpr base::duration crash_evidence_time = 1500ms;
+constexpr std::size_t most_broken = 256;
+/// A crash is told to the others for this long.
+constexpr base::duration crash_notice_time = 2s;
+/// What a workspace spent is told again for this long.
+constexpr base::duration spent_notice_time = 2s;
+
+/// Callers learn of a planned stop within this time: they keep an answer of
+/// the directory for up to three times as long as they are told.
+constexpr base::duration longest_serving_when_leaving = 2800ms;
+constexpr base::duration leave_check_interval = 50ms;
+/// Kept from the grace period for the last bytes.
+constexpr base::duration leave_margin = 400ms;
+
+std::uint64_t fingerprint_of(net::http_request const& request,
+                             base::workspace_id const& workspace)
+{
+    auto const mix = [](std::string const& text, std::uint64_t seed)
+    { return XXH64(text.data(), text.size(), seed); };
+    return mix(request.body_,
+               mix(request.target_, mix(workspace.str(), 0)));
+}
+
+std::string host_of(net::header_list const& headers)
+{
+    auto const* const host = headers.find("Host");
+    auto name = host == nullptr ? std::string{} : *host;
+    name = name.substr(0, name.find(':'));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    return name;
+}
+
+// The same name for own and reported crashes, so that one counts once.
+base::target_id crashed_target(routing::id_digest digest)
+{
+    return base::target_id{
+        std::to_string(static_cast<std::uint32_t>(digest))};
+}
+
+std::string retry_text(base::duration wait)
+{
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%.3f", base::seconds(wait));
+    return text.data();
+}
+
+} // namespace
+
+traffic::traffic(net::asio::io_context& loop, settings const& s,
+                 protocol const& speech, newer_configuration newer)
+    : loop_{loop}, settings_{s}, protocol_{speech}, newer_{std::move(newer)},
+      random_{base::entropy()}, life_{random_()},
+      peers_{loop, s, life_, *this},
+      dispatcher_{{s.data_centre_, random_()}, peers_.board()},
+      budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
+      channels_{loop},
+      callers_{loop,
+               static_cast<std::size_t>(
+                   caller_descriptors *
+                   static_cast<double>(s.most_descriptors_)),
+               [this](auto const& from, net::http_request r)
+               { on_request(from, std::move(r)); }},
+      health_{loop, most_small_connections,
+              [this](auto const& from, net::http_request r)
+              { on_health_request(from, r); }},
+      directory_{loop, most_small_connections,
+                 [this](auto const& from, net::http_request r)
+                 { on_directory_request(from, r); }},
+      metrics_listener_{loop, most_small_connections,
+                        [this](auto const& from, net::http_request const&)
+                        { on_metrics_request(from); }},
+      advance_alarm_{loop, [this] { advance(); }},
+      leave_alarm_{loop, [this] { check_left(); }}
+{
+    callers_.on_bad_requests(
+        [this](base::address const& from, int status)
+        {
+            metrics_.on_turned_away(status);
+            log_.write(line_kind::bad_input,
+                       log_line{"Malformed request."}
+                           .with("peer", from.str())
+                           .with("status", status),
+                       net::now());
+        });
+}
+
+base::result<void> traffic::start()
+{
+    BOOST_OUTCOME_TRYV(callers_.listen(settings_.callers_));
+    BOOST_OUTCOME_TRYV(health_.listen(settings_.health_));
+    BOOST_OUTCOME_TRYV(directory_.listen(settings_.directory_));
+    BOOST_OUTCOME_TRYV(metrics_listener_.listen(
+        {settings_.callers_.ip_, settings_.metrics_port_}));
+    return peers_.start();
+}
+
+void traffic::on_configuration(routing::configuration_ptr configuration)
+{
+    configuration_ = std::move(configuration);
+    configured_at_ = net::now();
+    quotas_.configure(configuration_->workspaces(), configured_at_);
+    workspaces_.clear();
+    for (auto const& w : configuration_->workspaces())
+    {
+        workspaces_.emplace(routing::digest_of(w.id_.str()), w.id_);
+    }
+    auto const& l = configuration_->limits();
+    callers_.set_limits(
+        {l.head_bytes_, l.body_bytes_, l.head_time_, l.idle_time_});
+    peers_.changed();
+}
+
+void traffic::on_targets(std::vector<routing::target_info> targets)
+{
+    dispatcher_.set_targets(targets, net::now());
+    channels_.set_targets(targets);
+    wake();
+}
+
+void traffic::on_daemons(std::vector<std::string> const& ips)
+{
+    peers_.on_listed(ips);
+    refresh_heard();
+}
+
+routing::daemon_state traffic::own_state() const
+{
+    if (leaving_)
+    {
+        return routing::daemon_state::leaving;
+    }
+    return configuration_ ? routing::daemon_state::ready
+                          : routing::daemon_state::starting;
+}
+
+bool traffic::is_ready() const
+{
+    return own_state() == routing::daemon_state::ready;
+}
+
+void traffic::turn_away(connection_ptr const& from, int status,
+                        char const* cause, std::string const& request_id,
+                        std::optional<base::duration> retry_after)
+{
+    metrics_.on_turned_away(status);
+    log_line line{"Request turned away."};
+    line.with("request", request_id).with("status", status).with("cause", cause);
+    line.with("config",
+              configuration_
+                  ? static_cast<std::int64_t>(configuration_->version())
+                  : 0);
+    if (configuration_)
+    {
+        line.with_ms("config_age_ms", net::now() - configured_at_);
+    }
+    net::http_response response;
+    response.status_ = status;
+    if (retry_after)
+    {
+        response.headers_.add("Retry-After", retry_text(*retry_after));
+        line.with_ms("retry_after_ms", *retry_after);
+    }
+    log_.write(line_kind::request, line, net::now());
+    from->answer(response);
+}
+
+void traffic::on_request(connection_ptr const& from, net::http_request request)
+{
+    auto marks = protocol_.read_call(request.headers_);
+    if (!marks)
+    {
+        turn_away(from, 400, "malformed_header", "", std::nullopt);
+        return;
+    }
+    auto const& id = marks.value().request_id_;
+    if (!configuration_)
+    {
+        turn_away(from, 503, "no_configuration", id, retry_when_starting);
+        return;
+    }
+    if (refusing_)
+    {
+        turn_away(from, 503, "leaving", id, retry_when_leaving);
+        return;
+    }
+    begin_call(from, std::move(request), std::move(marks).value());
+}
+
+base::pool_id traffic::choose_pool(routing::route const& r)
+{
+    std::uint64_t sum = 0;
+    for (auto const& p : r.pools_)
+    {
+        sum += p.weight_;
+    }
+    auto pick = sum == 0 ? 0 : random_.below(sum);
+    for (auto const& p : r.pools_)
+    {
+        if (pick < p.weight_)
+        {
+            return p.pool_;
+        }
+        pick -= p.weight_;
+    }
+    return r.pools_.front().pool_;
+}
+
+void traffic::begin_call(connection_ptr const& from, net::http_request request,
+                         call_marks marks)
+{
+    auto const found = configuration_->find(host_of(request.headers_),
+                                            request.target_, marks.key_);
+    if (found.verdict_ == routing::lookup_verdict::no_route)
+    {
+        turn_away(from, 404, "no_route", marks.request_id_, std::nullopt);
+        return;
+    }
+    if (found.verdict_ == routing::lookup_verdict::no_key)
+    {
+        turn_away(from, 401, "no_key", marks.request_id_, std::nullopt);
+        return;
+    }
+    call::subject about;
+    about.id_ = {life_, next_call_++};
+    about.request_ = std::move(request);
+    about.marks_ = std::move(marks);
+    about.configuration_ = configuration_;
+    about.route_ = found.route_;
+    about.workspace_ = found.workspace_;
+    about.pool_ = choose_pool(*found.route_);
+    about.tier_ = found.workspace_ != nullptr
+                      ? found.workspace_->tier_.value_or(found.route_->tier_)
+                      : found.route_->tier_;
+    about.fingerprint_ = fingerprint_of(
+        about.request_, found.workspace_ != nullptr ? found.workspace_->id_
+                                                    : base::workspace_id{});
+    budget_.on_request(about.pool_, net::now());
+    if (!admit(from, about))
+    {
+        return;
+    }
+    auto const id = about.id_;
+    auto const fresh = std::make_shared<call>(*this, from, std::move(about));
+    calls_.emplace(id, fresh);
+    fresh->start();
+}
+
+bool traffic::admit(connection_ptr const& from, call::subject& about)
+{
+    auto const now = net::now();
+    auto const& id = about.marks_.request_id_;
+    if (quarantine_.blocked(about.fingerprint_, now))
+    {
+        turn_away(from, 503, "quarantined", id, retry_when_quarantined);
+        return false;
+    }
+    if (about.workspace_ == nullptr)
+    {
+        return true;
+    }
+    auto const& w = *about.workspace_;
+    auto const tokens = about.marks_.has_tokens_
+                            ? static_cast<double>(
+                                  about.marks_.prompt_tokens_ +
+                                  about.marks_.most_output_tokens_)
+                            : w.plain_tokens_;
+    auto const units = w.counts_tokens_ ? tokens : 1.0;
+    if (!quotas_.admit(w.id_, units, now))
+    {
+        turn_away(from, 429, "quota", id, quotas_.wait_for(w.id_, units, now));
+        return false;
+    }
+    about.quota_units_ = units;
+    peers_.changed();
+    return true;
+}
+
+void traffic::submit(call& waiting, routing::call_item item)
+{
+    (void)waiting;
+    dispatcher_.submit(std::move(item), net::now());
+    wake();
+}
+
+void traffic::withdraw(call& waiting)
+{
+    dispatcher_.withdraw(waiting.about().id_);
+}
+
+void traffic::on_attempt_end(call& running, routing::call_end end)
+{
+    dispatcher_.on_end(running.about().id_, end, net::now());
+    if (end == routing::call_end::finished)
+    {
+        quarantine_.on_finished(running.about().fingerprint_, net::now());
+    }
+    if (end == routing::call_end::not_connected)
+    {
+        on_target_lost(running.target());
+    }
+    wake();
+}
+
+void traffic::on_pace(base::target_id const& target, base::duration took,
+                      double units)
+{
+    dispatcher_.on_pace(target, took, units);
+}
+
+bool traffic::take_retry(base::pool_id const& pool)
+{
+    budget_.set_daemons(peers_.board().known().size() + 1);
+    return budget_.take(pool, net::now());
+}
+
+base::duration traffic::retry_after(call const& refused)
+{
+    return dispatcher_.retry_after(refused.about().pool_,
+                                   refused.about().tier_);
+}
+
+void traffic::open_channel(
+    routing::target_info const& target, base::duration most_idle,
+    std::function<void(std::shared_ptr<net::channel>, net::error_code)> done)
+{
+    channels_.open(target, most_idle, std::move(done));
+}
+
+void traffic::keep_channel(base::target_id const& target,
+                           std::shared_ptr<net::channel> const& used)
+{
+    channels_.keep(target, used);
+}
+
+// A broken connection alone may be a lost answer. Whether the target died with
+// it shows when it is connected to.
+void traffic::on_broken(call& running, base::target_id const& target)
+{
+    if (broken_.size() >= most_broken)
+    {
+        broken_.pop_front();
+    }
+    broken_.push_back({running.about().fingerprint_, target, net::now()});
+    auto const* const info = dispatcher_.find(target);
+    if (info == nullptr || probing_[target])
+    {
+        return;
+    }
+    probing_[target] = true;
+    channels_.probe(*info,
+                    [this, target](bool reachable)
+                    {
+                        probing_.erase(target);
+                        dispatcher_.on_reachable(target, reachable, net::now());
+                        if (!reachable)
+                        {
+                            on_target_lost(target);
+                        }
+                        wake();
+                    });
+}
+
+void traffic::on_target_lost(base::target_id const& target)
+{
+    auto const now = net::now();
+    while (!broken_.empty() && now - broken_.front().at_ > crash_evidence_time)
+    {
+        broken_.pop_front();
+    }
+    for (auto const& b : broken_)
+    {
+        if (b.target_ == target)
+        {
+            report_crash(b.fingerprint_, target);
+        }
+    }
+    std::erase_if(broken_, [&](broken_call const& b)
+                  { return b.target_ == target; });
+}
+
+void traffic::report_crash(std::uint64_t fingerprint,
+                           base::target_id const& target)
+{
+    auto const now = net::now();
+    auto const digest = routing::digest_of(target.str());
+    quarantine_.on_target_lost(fingerprint, crashed_target(digest), now);
+    log_.write(line_kind::target,
+               log_line{"Target lost with a request."}
+                   .with("target", target.str())
+                   .with("fingerprint",
+                         static_cast<std::int64_t>(fingerprint >> 1))
+                   .with("blocked", quarantine_.blocked(fingerprint, now)),
+               now);
+    if (crashes_.size() >= routing::peer_report::most_crashes)
+    {
+        crashes_.pop_front();
+    }
+    crashes_.push_back({{fingerprint, digest, 0}, now});
+    peers_.changed();
+}
+
+void traffic::wake()
+{
+    if (advancing_ || wake_posted_)
+    {
+        return;
+    }
+    // One pass for all that happened in this turn of the loop.
+    wake_posted_ = true;
+    net::asio::post(loop_,
+                    [this]
+                    {
+                        wake_posted_ = false;
+                        advance();
+                    });
+}
+
+void traffic::advance()
+{
+    advancing_ = true;
+    std::vector<sched::action> actions;
+    peers_.board().refresh(net::now());
+    dispatcher_.advance(net::now(), actions);
+    advancing_ = false;
+    for (auto const& action : actions)
+    {
+        apply(action);
+    }
+    auto const next = dispatcher_.next_wakeup();
+    if (next == base::time_point::max())
+    {
+        advance_alarm_.clear();
+    }
+    else
+    {
+        advance_alarm_.set(next);
+    }
+    peers_.changed();
+}
+
+void traffic::apply(sched::action const& action)
+{
+    if (auto const* const grant = std::get_if<sched::grant>(&action))
+    {
+        auto const found = calls_.find(grant->request_);
+        auto const* const target = dispatcher_.find(grant->target_);
+        assert(target != nullptr);
+        if (found == calls_.end())
+        {
+            dispatcher_.on_end(grant->request_, routing::call_end::cancelled,
+                               net::now());
+            return;
+        }
+        auto const keep = found->second;
+        keep->on_grant(*target);
+        return;
+    }
+    auto const& refusal = std::get<sched::refusal>(action);
+    auto const found = calls_.find(refusal.request_);
+    if (found != calls_.end())
+    {
+        auto const keep = found->second;
+        keep->on_refusal(refusal.cause_, refusal.retry_after_);
+    }
+}
+
+void traffic::on_over(call& over, call_outcome outcome,
+                      std::string const& cause)
+{
+    auto const now = net::now();
+    auto const& about = over.about();
+    auto const ran = over.progress().may_have_run_ ||
+                     outcome == call_outcome::complete ||
+                     outcome == call_outcome::target_error;
+    if (!ran && about.workspace_ != nullptr)
+    {
+        quotas_.refund(about.workspace_->id_, about.quota_units_);
+    }
+    auto const workspace = about.workspace_ != nullptr ? about.workspace_->id_
+                                                       : base::workspace_id{};
+    auto const first = over.first_piece().value_or(now) - over.received();
+    metrics_.on_call(workspace, about.tier_, outcome, cause, first,
+                     now - over.received());
+    log_line line{"Request ended."};
+    line.with("request", about.marks_.request_id_)
+        .with("workspace", workspace.str())
+        .with("route", about.route_->name_)
+        .with("pool", about.pool_.str())
+        .with("tier", static_cast<std::int64_t>(base::index(about.tier_)))
+        .with("outcome", to_string(outcome))
+        .with("status", over.status())
+        .with("cause", cause)
+        .with("target", over.target().str())
+        .with("attempts", over.progress().attempts_)
+        .with("failed_connects", over.progress().failed_connects_);
+    if (over.progress().attempts_ > 0)
+    {
+        line.with_ms("waited_ms", over.first_sent() - over.received());
+    }
+    line.with_ms("first_ms", first)
+        .with_ms("total_ms", now - over.received())
+        .with("config", static_cast<std::int64_t>(
+                            about.configuration_->version()))
+        .with("waiting", static_cast<std::int64_t>(dispatcher_.waiting()))
+        .with("in_flight", static_cast<std::int64_t>(dispatcher_.in_flight()));
+    log_.write(line_kind::request, line, now);
+    auto const found = calls_.find(about.id_);
+    assert(found != calls_.end());
+    // The call is in one of its own functions.
+    net::asio::post(loop_, [ended = std::move(found->second)] {});
+    calls_.erase(found);
+    wake();
+    if (left_)
+    {
+        leave_alarm_.set(now);
+    }
+}
+
+void traffic::fill(routing::peer_report& report)
+{
+    auto const now = net::now();
+    report.state_ = own_state();
+    report.data_centre_ = routing::digest_of(settings_.data_centre_.str());
+    report.config_version_ =
+        configuration_
+            ? static_cast<std::uint64_t>(configuration_->version())
+            : 0;
+    dispatcher_.report_usage(report);
+    for (auto const& usage : quotas_.own_usage(now - spent_notice_time))
+    {
+        if (report.spent_.size() < routing::peer_report::most_spent)
+        {
+            report.spent_.push_back(
+                {routing::digest_of(usage.workspace_.str()), usage.units_});
+        }
+    }
+    while (!crashes_.empty() && now - crashes_.front().at_ > crash_notice_time)
+    {
+        crashes_.pop_front();
+    }
+    for (auto const& crash : crashes_)
+    {
+        auto notice = crash.notice_;
+        notice.age_ms_ =
+            static_cast<std::uint16_t>(base::milliseconds(now - crash.at_));
+        report.crashes_.push_back(notice);
+    }
+}
+
+void traffic::refresh_heard()
+{
+    quotas_.set_heard_part(peers_.board().heard_part(net::now()), net::now());
+}
+
+void traffic::on_news(routing::peer_ip from,
+                      routing::peer_report const& report,
+                      routing::peer_board::news const& news)
+{
+    auto const now = net::now();
+    for (auto const& spent : news.spent_more_)
+    {
+        auto const known = workspaces_.find(spent.workspace_);
+        if (known != workspaces_.end())
+        {
+            quotas_.on_peer_usage(known->second,
+                                  static_cast<double>(spent.units_), now);
+        }
+    }
+    for (auto const& crash : report.crashes_)
+    {
+        quarantine_.on_target_lost(
+            crash.fingerprint_, crashed_target(crash.target_),
+            now - std::chrono::milliseconds{crash.age_ms_});
+    }
+    auto const own_version =
+        configuration_
+            ? static_cast<std::uint64_t>(configuration_->version())
+            : 0;
+    if (report.config_version_ > own_version)
+    {
+        newer_(to_string(from));
+    }
+    refresh_heard();
+    if (dispatcher_.waiting() > 0)
+    {
+        wake();
+    }
+}
+
+std::vector<base::address>
+traffic::entry_addresses(base::data_centre_id const& near) const
+{
+    auto const now = net::now();
+    auto const collect = [&](std::optional<routing::id_digest> where)
+    {
+        std::vector<base::address> out;
+        for (auto const peer : peers_.board().ready(where, now))
+        {
+            out.push_back({to_string(peer), settings_.callers_.port_});
+        }
+        return out;
+    };
+    auto addresses = collect(routing::digest_of(near.str()));
+    if (is_ready() && (near == settings_.data_centre_ || addresses.empty()))
+    {
+        addresses.push_back(settings_.callers_);
+    }
+    if (addresses.empty())
+    {
+        addresses = collect(std::nullopt);
+    }
+    return addresses;
+}
+
+void traffic::on_directory_request(connection_ptr const& from,
+                                   net::http_request const& request)
+{
+    net::http_response response;
+    auto const question = protocol_.read_entry_question(request.target_);
+    if (!question)
+    {
+        response.status_ = 404;
+        from->answer(response);
+        return;
+    }
+    entry_answer answer;
+    answer.addresses_ = entry_addresses(question->data_centre_);
+    answer.keep_ = directory_keep;
+    if (answer.addresses_.empty())
+    {
+        response.status_ = 503;
+        from->answer(response);
+        return;
+    }
+    response.status_ = 200;
+    response.headers_.add("Content-Type", "application/json");
+    response.body_ = protocol_.write_entry_answer(answer);
+    from->answer(response);
+}
+
+void traffic::on_health_request(connection_ptr const& from,
+                                net::http_request const& request)
+{
+    net::http_response response;
+    response.status_ = 404;
+    if (protocol_.is_ready_question(request.target_))
+    {
+        response.status_ = is_ready() ? 200 : 503;
+    }
+    from->answer(response);
+}
+
+void traffic::on_metrics_request(connection_ptr const& from)
+{
+    auto const now = net::now();
+    auto const& board = peers_.board();
+    std::vector<gauge> const gauges{
+        {"waiting_requests", static_cast<double>(dispatcher_.waiting())},
+        {"running_requests", static_cast<double>(dispatcher_.in_flight())},
+        {"caller_connections", static_cast<double>(callers_.connections())},
+        {"configuration_version",
+         configuration_ ? static_cast<double>(configuration_->version()) : 0},
+        {"configuration_age_seconds", base::seconds(now - configured_at_)},
+        {"known_daemons", static_cast<double>(board.known().size() + 1)},
+        {"heard_daemons", static_cast<double>(board.heard(now).size() + 1)},
+        {"reports_sent_total", static_cast<double>(peers_.sent())},
+        {"log_lines_left_out_total", static_cast<double>(log_.left_out())},
+    };
+    net::http_response response;
+    response.status_ = 200;
+    response.headers_.add("Content-Type", "text/plain; version=0.0.4");
+    response.body_ = metrics_.text(gauges);
+    from->answer(response);
+}
+
+void traffic::leave(std::function<void()> done)
+{
+    leaving_ = true;
+    left_ = std::move(done);
+    leave_ends_ = net::now() + settings_.grace_ - leave_margin;
+    log_.write(line_kind::control,
+               log_line{"Planned stop begins."}.with(
+                   "calls", static_cast<std::int64_t>(calls_.size())),
+               net::now());
+    callers_.close_after_answers();
+    peers_.send();
+    auto const serving =
+        std::min(longest_serving_when_leaving, settings_.grace_ / 3);
+    leave_alarm_.set_after(serving);
+}
+
+void traffic::begin_refusing()
+{
+    refusing_ = true;
+    callers_.close_idle();
+}
+
+void traffic::check_left()
+{
+    if (!refusing_)
+    {
+        auto const quiet_since = leave_ends_ + leave_margin - settings_.grace_ +
+                                 std::min(longest_serving_when_leaving,
+                                          settings_.grace_ / 3);
+        if (net::now() < quiet_since)
+        {
+            leave_alarm_.set(quiet_since);
+            return;
+        }
+        begin_refusing();
+    }
+    callers_.close_idle();
+    auto const quiet = calls_.empty() && callers_.connections() == 0;
+    if (!quiet && net::now() < leave_ends_)
+    {
+        leave_alarm_.set_after(leave_check_interval);
+        return;
+    }
+    end_leaving();
+}
+
+void traffic::end_leaving()
+{
+    log_.write(line_kind::control,
+               log_line{"Planned stop ends."}.with(
+                   "cut", static_cast<std::int64_t>(calls_.size())),
+               net::now());
+    callers_.stop_accepting();
+    auto const done = std::move(left_);
+    left_ = nullptr;
+    if (done)
+    {
+        done();
+    }
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/traffic_metrics.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "src/base/histogram.hpp"
+#include "src/base/ids.hpp"
+#include "src/entry/call.hpp"
+
+#include <array>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace tanagerlead::entry
+{
+
+/// One value of now, for example the number of waiting requests.
+struct gauge
+{
+    char const* name_;
+    double value_;
+};
+
+/// Counters and latency histograms by workspace and tier, as Prometheus text.
+/// The first workspaces get series of their own, all others share one, which
+/// bounds memory and text.
+class traffic_metrics
+{
+public:
+    void on_call(base::workspace_id const& workspace, base::tier tier,
+                 call_outcome outcome, std::string const& cause,
+                 base::duration first, base::duration total);
+    void on_turned_away(int status);
+
+    std::string text(std::vector<gauge> const& gauges) const;
+
+private:
+    static constexpr std::size_t most_workspaces = 200;
+    static constexpr std::size_t most_causes = 40;
+    static constexpr std::size_t outcomes = 6;
+
+    struct series
+    {
+        base::duration_histogram first_;
+        base::duration_histogram total_;
+        std::array<std::uint64_t, outcomes> ended_{};
+    };
+
+    using series_key = std::tuple<base::workspace_id, base::tier>;
+
+    static void append_histogram(std::string& out, char const* name,
+                                 std::string const& labels,
+                                 base::duration_histogram const& values);
+
+    std::map<series_key, series> series_;
+    std::map<std::string, std::uint64_t> causes_;
+    std::map<int, std::uint64_t> turned_away_;
+};
+
+} // namespace tanagerlead::entry
--- a/src/platform/etcd_codec.cpp
+++ b/src/external/etcd_codec.cpp
@@ -1,10 +1,10 @@
-#include "src/platform/etcd_codec.hpp"
+#include "src/external/etcd_codec.hpp"
 
-#include "src/platform/base64.hpp"
+#include "src/base/base64.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace tanagerlead::platform::etcd
+namespace tanagerlead::external::etcd
 {
 
 namespace
@@ -29,7 +29,7 @@
 
 std::string read_bytes(json const& object, char const* name)
 {
-    auto const decoded = base64_decode(object.value(name, std::string{}));
+    auto const decoded = base::base64_decode(object.value(name, std::string{}));
     if (!decoded)
     {
         throw std::invalid_argument{std::string{name} + " is not base64"};
@@ -45,18 +45,18 @@
 
 json encode_write(key_value_write const& write)
 {
-    json body{{"key", base64_encode(write.key_)}};
+    json body{{"key", base::base64_encode(write.key_)}};
     if (!write.value_)
     {
         return {{"request_delete_range", body}};
     }
-    body["value"] = base64_encode(*write.value_);
+    body["value"] = base::base64_encode(*write.value_);
     return {{"request_put", body}};
 }
 
 json encode_compare(key_value_write const& write)
 {
-    return {{"key", base64_encode(write.key_)},
+    return {{"key", base::base64_encode(write.key_)},
             {"target", "MOD"},
             {"result", "EQUAL"},
             {"mod_revision", std::to_string(*write.expected_revision_)}};
@@ -104,10 +104,10 @@
 
 std::string encode_range(std::string const& key, std::string const& end)
 {
-    json body{{"key", base64_encode(key)}};
+    json body{{"key", base::base64_encode(key)}};
     if (!end.empty())
     {
-        body["range_end"] = base64_encode(end);
+        body["range_end"] = base::base64_encode(end);
     }
     return body.dump();
 }
@@ -129,7 +129,7 @@
 
 std::string encode_watch(std::string const& key)
 {
-    return json{{"create_request", {{"key", base64_encode(key)}}}}.dump();
+    return json{{"create_request", {{"key", base::base64_encode(key)}}}}.dump();
 }
 
 std::string end_of_prefix(std::string prefix)
@@ -179,4 +179,4 @@
     return decode_json(line, "decode watch", read_watch_line);
 }
 
-} // namespace tanagerlead::platform::etcd
+} // namespace tanagerlead::external::etcd
--- a/src/platform/etcd_codec.hpp
+++ b/src/external/etcd_codec.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "src/platform/key_value.hpp"
+#include "src/external/key_value.hpp"
 
 #include <string>
 #include <vector>
 
 /// Bodies of the JSON gateway of etcd v3.
-namespace tanagerlead::platform::etcd
+namespace tanagerlead::external::etcd
 {
 
 /// One line of a watch's stream.
@@ -34,4 +34,4 @@
 base::result<commit_outcome> decode_commit(std::string const& body);
 base::result<watch_line> decode_watch_line(std::string const& line);
 
-} // namespace tanagerlead::platform::etcd
+} // namespace tanagerlead::external::etcd
--- a/src/platform/etcd_store.cpp
+++ b/src/external/etcd_store.cpp
@@ -1,11 +1,11 @@
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 
-#include "src/platform/etcd_codec.hpp"
-#include "src/platform/etcd_watch.hpp"
+#include "src/external/etcd_codec.hpp"
+#include "src/external/etcd_watch.hpp"
 
 #include <boost/outcome/try.hpp>
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 namespace
@@ -168,4 +168,4 @@
                                                 std::move(changed));
 }
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/etcd_store.hpp
+++ b/src/external/etcd_store.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "src/base/address.hpp"
-#include "src/platform/http_client.hpp"
-#include "src/platform/key_value.hpp"
+#include "src/external/http_client.hpp"
+#include "src/external/key_value.hpp"
 
 #include <atomic>
 #include <vector>
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 struct etcd_settings
@@ -51,4 +51,4 @@
     std::atomic<std::size_t> preferred_{0};
 };
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/etcd_watch.cpp
+++ b/src/external/etcd_watch.cpp
@@ -1,10 +1,10 @@
-#include "src/platform/etcd_watch.hpp"
+#include "src/external/etcd_watch.hpp"
 
-#include "src/platform/etcd_codec.hpp"
+#include "src/external/etcd_codec.hpp"
 
 #include <httplib.h>
 
-namespace tanagerlead::platform::etcd
+namespace tanagerlead::external::etcd
 {
 
 namespace
@@ -171,4 +171,4 @@
     told_revision_ = std::max(told_revision_, entry.revision_);
 }
 
-} // namespace tanagerlead::platform::etcd
+} // namespace tanagerlead::external::etcd
--- a/src/platform/etcd_watch.hpp
+++ b/src/external/etcd_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 
 #include <condition_variable>
 #include <mutex>
@@ -12,7 +12,7 @@
 class Client;
 }
 
-namespace tanagerlead::platform::etcd
+namespace tanagerlead::external::etcd
 {
 
 /// One watched key: a thread that holds the stream and opens it anew.
@@ -53,4 +53,4 @@
     std::thread thread_;
 };
 
-} // namespace tanagerlead::platform::etcd
+} // namespace tanagerlead::external::etcd
--- a/src/platform/host_list.hpp
+++ b/src/external/host_list.hpp
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 enum class host_state
@@ -32,4 +32,4 @@
     virtual base::result<std::vector<listed_host>> read() = 0;
 };
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/http_client.cpp
+++ b/src/external/http_client.cpp
@@ -1,8 +1,8 @@
-#include "src/platform/http_client.hpp"
+#include "src/external/http_client.hpp"
 
 #include <httplib.h>
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 namespace
@@ -62,4 +62,4 @@
     return convert(client.Get(path), "GET", from);
 }
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/http_client.hpp
+++ b/src/external/http_client.hpp
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 struct http_answer
@@ -34,4 +34,4 @@
                               std::string const& path,
                               http_timeouts const& timeouts);
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/http_host_list.cpp
+++ b/src/external/http_host_list.cpp
@@ -1,9 +1,9 @@
-#include "src/platform/http_host_list.hpp"
+#include "src/external/http_host_list.hpp"
 
 #include <boost/outcome/try.hpp>
 #include <nlohmann/json.hpp>
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 namespace
@@ -112,4 +112,4 @@
     return outcome;
 }
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/http_host_list.hpp
+++ b/src/external/http_host_list.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "src/platform/host_list.hpp"
-#include "src/platform/http_client.hpp"
+#include "src/external/host_list.hpp"
+#include "src/external/http_client.hpp"
 
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 /// `host_list` over the HTTP service discovery of Prometheus. An entry with
@@ -23,4 +23,4 @@
     http_timeouts timeouts_;
 };
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/platform/key_value.hpp
+++ b/src/external/key_value.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 /// Interfaces to what the platform gives, and their adapters.
-namespace tanagerlead::platform
+namespace tanagerlead::external
 {
 
 struct key_value_entry
@@ -70,4 +70,4 @@
           std::function<void(key_value_entry const&)> changed) = 0;
 };
 
-} // namespace tanagerlead::platform
+} // namespace tanagerlead::external
--- a/src/http/target_probe.cpp
+++ b/src/http/target_probe.cpp
@@ -1,6 +1,6 @@
 #include "src/http/target_probe.hpp"
 
-#include "src/platform/http_client.hpp"
+#include "src/external/http_client.hpp"
 
 #include <boost/outcome/try.hpp>
 
@@ -15,7 +15,7 @@
 {
 
 constexpr int status_ok = 200;
-constexpr platform::http_timeouts probe_timeouts{std::chrono::milliseconds{500},
+constexpr external::http_timeouts probe_timeouts{std::chrono::milliseconds{500},
                                                  std::chrono::seconds{1}};
 /// Larger counts are taken for nonsense.
 constexpr double most_requests = 1e6;
@@ -89,7 +89,7 @@
 {
     BOOST_OUTCOME_TRY(
         auto const answer,
-        platform::get(target.address_, "/metrics", probe_timeouts));
+        external::get(target.address_, "/metrics", probe_timeouts));
     if (answer.status_ != status_ok)
     {
         return base::fail(base::error_code::unavailable, "read load",
@@ -101,7 +101,7 @@
 
 bool probe_health(base::address const& target)
 {
-    auto const answer = platform::get(target, "/health", probe_timeouts);
+    auto const answer = external::get(target, "/health", probe_timeouts);
     return answer && answer.value().status_ == status_ok;
 }
 
--- /dev/null
+++ b/src/net/caller_connection.cpp
@@ -0,0 +1,387 @@
+#include "src/net/caller_connection.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <cassert>
+
+namespace tanagerlead::net
+{
+
+namespace http = boost::beast::http;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Read at once; a usual request head fits.
+constexpr std::size_t head_read_bytes = 4096;
+constexpr std::size_t body_read_bytes = 16384;
+/// Bytes of further requests kept while one is answered.
+constexpr std::size_t most_unread_bytes = 65536;
+/// Data that the caller does not acknowledge for this long end the connection.
+constexpr base::duration caller_patience = 10s;
+/// Time for the caller to read the last answer before the connection closes.
+constexpr base::duration linger_time = 500ms;
+
+int status_for(error_code const& error)
+{
+    if (error == http::error::header_limit)
+    {
+        return 431;
+    }
+    if (error == http::error::body_limit)
+    {
+        return 413;
+    }
+    return 400;
+}
+
+} // namespace
+
+caller_connection::caller_connection(tcp::socket socket,
+                                     connection_owner& owner)
+    : socket_{std::move(socket)}, owner_{owner},
+      alarm_{static_cast<asio::io_context&>(socket_.get_executor().context()),
+             [this] { on_alarm(); }},
+      limits_{owner.limits()}
+{
+    error_code error;
+    peer_ = to_address(socket_.remote_endpoint(error));
+    set_options(socket_, caller_patience);
+}
+
+void caller_connection::start()
+{
+    alarm_.set_after(limits_.idle_time_);
+    read_more();
+}
+
+void caller_connection::read_more()
+{
+    if (reading_ || closed_ ||
+        (busy_ && buffer_.size() >= most_unread_bytes))
+    {
+        return;
+    }
+    reading_ = true;
+    auto const in_body = parser_ && parser_->is_header_done();
+    arrived_.resize(in_body ? body_read_bytes : head_read_bytes);
+    socket_.async_read_some(
+        asio::buffer(arrived_),
+        [self = shared_from_this()](error_code const& error, std::size_t count)
+        { self->on_read(error, count); });
+}
+
+void caller_connection::on_read(error_code const& error, std::size_t count)
+{
+    reading_ = false;
+    if (closed_)
+    {
+        return;
+    }
+    if (error)
+    {
+        auto const left = std::move(left_);
+        close();
+        if (left)
+        {
+            left();
+        }
+        return;
+    }
+    if (lingering_)
+    {
+        read_more();
+        return;
+    }
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(count),
+                                     asio::buffer(arrived_.data(), count)));
+    if (!busy_)
+    {
+        parse();
+    }
+    read_more();
+}
+
+void caller_connection::parse()
+{
+    if (buffer_.size() == 0)
+    {
+        return;
+    }
+    if (!parser_)
+    {
+        limits_ = owner_.limits();
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(static_cast<std::uint32_t>(limits_.head_bytes_));
+        parser_->body_limit(limits_.body_bytes_);
+        continued_ = false;
+        alarm_.set_after(limits_.head_time_);
+    }
+    while (buffer_.size() > 0 && !parser_->is_done())
+    {
+        auto const had_head = parser_->is_header_done();
+        error_code error;
+        auto const used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        auto const starved = error == http::error::need_more || used == 0;
+        if (error && error != http::error::need_more)
+        {
+            reject(status_for(error));
+            return;
+        }
+        if (!had_head && parser_->is_header_done())
+        {
+            if (!has_sound_framing())
+            {
+                reject(400);
+                return;
+            }
+            alarm_.set_after(limits_.head_time_);
+            welcome_body();
+        }
+        if (starved)
+        {
+            break;
+        }
+    }
+    if (parser_->is_done())
+    {
+        take_request();
+    }
+}
+
+// Beast refuses a length beside chunks. What it lets pass could be read in two
+// ways by the ends of a path: a second Host or length, or another coding.
+bool caller_connection::has_sound_framing() const
+{
+    auto const& head = parser_->get();
+    auto const coding = head.find(http::field::transfer_encoding);
+    auto const sound_coding =
+        coding == head.end() ||
+        (boost::beast::iequals(coding->value(), "chunked") &&
+         head.count(http::field::transfer_encoding) == 1);
+    return sound_coding && head.count(http::field::host) == 1 &&
+           head.count(http::field::content_length) <= 1 &&
+           head.version() == 11;
+}
+
+void caller_connection::welcome_body()
+{
+    auto const& head = parser_->get();
+    auto const expects = head.find(http::field::expect);
+    if (!parser_->is_done() && !continued_ && expects != head.end())
+    {
+        continued_ = true;
+        out_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+}
+
+void caller_connection::take_request()
+{
+    auto message = parser_->release();
+    parser_.reset();
+    http_request request;
+    request.method_ = std::string{message.method_string()};
+    request.target_ = std::string{message.target()};
+    for (auto const& field : message)
+    {
+        request.headers_.add(std::string{field.name_string()},
+                             std::string{field.value()});
+    }
+    request.body_ = std::move(message.body());
+    wants_close_ = !message.keep_alive();
+    busy_ = true;
+    alarm_.clear();
+    owner_.on_request(shared_from_this(), std::move(request));
+}
+
+void caller_connection::reject(int status)
+{
+    owner_.on_bad_request(peer_, status);
+    busy_ = true;
+    wants_close_ = true;
+    parser_.reset();
+    http_response response;
+    response.status_ = status;
+    answer(response);
+}
+
+void caller_connection::answer(http_response const& response)
+{
+    if (closed_)
+    {
+        return;
+    }
+    assert(busy_);
+    out_ += to_text(response, !wants_close_ && !closing_);
+    finish_answer();
+}
+
+void caller_connection::begin_answer(http_response const& head)
+{
+    if (closed_)
+    {
+        return;
+    }
+    assert(busy_);
+    out_ += to_chunked_head(head, !wants_close_ && !closing_);
+    wants_close_ = wants_close_ || closing_;
+    flush();
+}
+
+void caller_connection::send_piece(std::string_view bytes)
+{
+    if (closed_ || bytes.empty())
+    {
+        return;
+    }
+    out_ += to_chunk(bytes);
+    flush();
+}
+
+void caller_connection::end_answer()
+{
+    if (closed_)
+    {
+        return;
+    }
+    out_ += last_chunk;
+    finish_answer();
+}
+
+void caller_connection::finish_answer()
+{
+    left_ = nullptr;
+    drained_ = nullptr;
+    busy_ = false;
+    wants_close_ = wants_close_ || closing_;
+    flush();
+    if (wants_close_)
+    {
+        return;
+    }
+    alarm_.set_after(owner_.limits().idle_time_);
+    // The next request may have come already, and its answer may be given
+    // inside this call, so it starts from the loop.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   if (!self->closed_ && !self->busy_)
+                   {
+                       self->parse();
+                       self->read_more();
+                   }
+               });
+}
+
+void caller_connection::flush()
+{
+    if (!writing_.empty() || closed_)
+    {
+        return;
+    }
+    if (out_.empty())
+    {
+        if (wants_close_ && !busy_)
+        {
+            linger();
+        }
+        return;
+    }
+    writing_.swap(out_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](error_code const& error,
+                                                  std::size_t)
+                      { self->on_written(error); });
+}
+
+void caller_connection::on_written(error_code const& error)
+{
+    writing_.clear();
+    if (closed_)
+    {
+        return;
+    }
+    if (error)
+    {
+        auto const left = std::move(left_);
+        close();
+        if (left)
+        {
+            left();
+        }
+        return;
+    }
+    auto const drained = !is_clogged() ? drained_ : nullptr;
+    flush();
+    if (drained)
+    {
+        drained();
+    }
+}
+
+// A close with unread bytes would reset the connection and could take the
+// answer with it.
+void caller_connection::linger()
+{
+    if (lingering_)
+    {
+        return;
+    }
+    lingering_ = true;
+    error_code error;
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    alarm_.set_after(linger_time);
+    buffer_.consume(buffer_.size());
+    read_more();
+}
+
+void caller_connection::on_alarm()
+{
+    if (closed_ || busy_)
+    {
+        return;
+    }
+    if (parser_ && !lingering_)
+    {
+        reject(408);
+        return;
+    }
+    close();
+}
+
+void caller_connection::close_if_idle()
+{
+    if (closed_ || busy_ || parser_ || buffer_.size() > 0 || lingering_)
+    {
+        return;
+    }
+    wants_close_ = true;
+    flush();
+}
+
+void caller_connection::abort()
+{
+    left_ = nullptr;
+    drained_ = nullptr;
+    close();
+}
+
+void caller_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    alarm_.clear();
+    error_code error;
+    socket_.close(error);
+    owner_.on_closed(*this);
+}
+
+} // namespace tanagerlead::net
--- /dev/null
+++ b/src/net/event_loop.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "src/base/units.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace tanagerlead::net
+{
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+/// Time of the event loops, comparable with that of the decision objects.
+base::time_point now();
+
+/// A time at which something is to be done. Setting a later time costs no
+/// call into the timer queue.
+class alarm
+{
+public:
+    alarm(asio::io_context& loop, std::function<void()> rings);
+    ~alarm();
+    alarm(alarm const&) = delete;
+    alarm& operator=(alarm const&) = delete;
+
+    void set(base::time_point when);
+    void set_after(base::duration delay) { set(now() + delay); }
+    void clear() { when_ = base::time_point::max(); }
+    bool is_set() const { return when_ != base::time_point::max(); }
+
+private:
+    void arm();
+
+    asio::steady_timer timer_;
+    std::function<void()> rings_;
+    base::time_point when_ = base::time_point::max();
+    /// When the timer fires; max when it does not run.
+    base::time_point armed_ = base::time_point::max();
+    /// Outlives this object in handlers that were already queued.
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace tanagerlead::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,188 @@
+#include "src/net/http_client.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace tanagerlead::net
+{
+
+namespace
+{
+
+/// Connects within a region take milliseconds.
+constexpr base::duration connect_timeout = std::chrono::milliseconds{700};
+/// Larger answers are an error; a page of the store is about one megabyte.
+constexpr std::size_t most_answer_bytes = 8 << 20;
+
+} // namespace
+
+/// One call until its answer or time-out.
+class http_client::pending final : public answer_sink,
+                                   public std::enable_shared_from_this<pending>
+{
+public:
+    pending(http_client& owner, base::address peer, std::string step,
+            http_request request, answered done)
+        : owner_{owner}, peer_{std::move(peer)}, step_{std::move(step)},
+          request_{std::move(request)}, done_{std::move(done)},
+          alarm_{owner.loop_, [this] { on_timeout(); }}
+    {
+    }
+
+    void start(base::duration timeout)
+    {
+        alarm_.set_after(timeout);
+        if (auto kept = owner_.take_idle(peer_))
+        {
+            channel_ = std::move(kept);
+            send();
+            return;
+        }
+        channel_ = std::make_shared<channel>(owner_.loop_, peer_);
+        channel_->connect(std::min(timeout, connect_timeout),
+                          [self = weak_from_this()](error_code const& error)
+                          {
+                              if (auto const call = self.lock())
+                              {
+                                  call->on_connected(error);
+                              }
+                          });
+    }
+
+    void abandon()
+    {
+        done_ = nullptr;
+        channel_->close();
+    }
+
+    head_verdict on_head(http_response const& head) override
+    {
+        answer_ = head;
+        return head_verdict::accept;
+    }
+
+    void on_body(std::string_view bytes) override
+    {
+        answer_.body_.append(bytes);
+        if (answer_.body_.size() > most_answer_bytes)
+        {
+            channel_->close();
+            on_broken("answer too large");
+        }
+    }
+
+    void on_complete() override
+    {
+        if (channel_->is_reusable())
+        {
+            owner_.idle_[peer_].push_back(channel_);
+        }
+        finish(std::move(answer_));
+    }
+
+    void on_broken(std::string const& detail) override
+    {
+        fail(base::error_code::unknown_effect, detail);
+    }
+
+private:
+    void on_connected(error_code const& error)
+    {
+        if (error)
+        {
+            fail(base::error_code::not_sent, error.message());
+            return;
+        }
+        send();
+    }
+
+    void send()
+    {
+        sent_ = true;
+        channel_->exchange(request_, *this);
+    }
+
+    void on_timeout()
+    {
+        channel_->close();
+        fail(sent_ ? base::error_code::unknown_effect
+                   : base::error_code::not_sent,
+             "no answer in time");
+    }
+
+    void fail(base::error_code code, std::string detail)
+    {
+        finish(base::fail(code, step_, peer_.str(), std::move(detail)));
+    }
+
+    // Leaves the caller's frame first: the answer may start the next call and
+    // this object ends.
+    void finish(base::result<http_response> result)
+    {
+        alarm_.clear();
+        if (!done_)
+        {
+            return;
+        }
+        asio::post(owner_.loop_,
+                   [self = shared_from_this(), done = std::move(done_),
+                    result = std::move(result)]() mutable
+                   { done(std::move(result)); });
+        done_ = nullptr;
+        owner_.calls_.erase(this);
+    }
+
+    http_client& owner_;
+    base::address peer_;
+    std::string step_;
+    http_request request_;
+    answered done_;
+    alarm alarm_;
+    std::shared_ptr<channel> channel_;
+    http_response answer_;
+    bool sent_ = false;
+};
+
+http_client::~http_client()
+{
+    for (auto const& [key, call] : calls_)
+    {
+        call->abandon();
+    }
+    for (auto const& [peer, channels] : idle_)
+    {
+        for (auto const& kept : channels)
+        {
+            kept->close();
+        }
+    }
+}
+
+std::shared_ptr<channel> http_client::take_idle(base::address const& peer)
+{
+    auto& kept = idle_[peer];
+    while (!kept.empty())
+    {
+        auto last = std::move(kept.back());
+        kept.pop_back();
+        if (last->is_reusable())
+        {
+            return last;
+        }
+        last->close();
+    }
+    return nullptr;
+}
+
+void http_client::call(base::address const& peer, std::string step,
+                       http_request request, base::duration timeout,
+                       answered done)
+{
+    auto const call = std::make_shared<pending>(
+        *this, peer, std::move(step), std::move(request), std::move(done));
+    calls_.emplace(call.get(), call);
+    call->start(timeout);
+}
+
+} // namespace tanagerlead::net
--- /dev/null
+++ b/src/net/http_listener.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "src/base/error.hpp"
+#include "src/net/caller_connection.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace tanagerlead::net
+{
+
+/// Accepts connections at one address and keeps them.
+class http_listener final : public connection_owner
+{
+public:
+    using handler = std::function<void(
+        std::shared_ptr<caller_connection> const&, http_request)>;
+    using bad_request_handler =
+        std::function<void(base::address const&, int status)>;
+
+    http_listener(asio::io_context& loop, std::size_t most_connections,
+                  handler on_request);
+
+    /// Port 0 lets the system choose.
+    base::result<void> listen(base::address const& at);
+    base::address local_address() const;
+    void set_limits(connection_limits limits) { limits_ = limits; }
+    void on_bad_requests(bad_request_handler seen) { bad_ = std::move(seen); }
+
+    /// No further connections.
+    void stop_accepting();
+    /// Each further answer closes its connection.
+    void close_after_answers();
+    /// Ends the connections on which nothing is under way.
+    void close_idle();
+    std::size_t connections() const { return open_.size(); }
+
+    connection_limits limits() const override { return limits_; }
+    void on_request(std::shared_ptr<caller_connection> const& from,
+                    http_request request) override;
+    void on_bad_request(base::address const& from, int status) override;
+    void on_closed(caller_connection& connection) override;
+
+private:
+    void accept();
+
+    asio::io_context& loop_;
+    tcp::acceptor acceptor_;
+    std::size_t most_connections_;
+    handler handler_;
+    bad_request_handler bad_;
+    connection_limits limits_;
+    bool closing_ = false;
+    absl::flat_hash_map<caller_connection*, std::shared_ptr<caller_connection>>
+        open_;
+};
+
+} // namespace tanagerlead::net
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,193 @@
+#include "src/net/http_message.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace tanagerlead::net
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 9> connection_fields{
+    "Connection", "Keep-Alive",        "Proxy-Connection",
+    "TE",         "Trailer",           "Transfer-Encoding",
+    "Upgrade",    "Content-Length",    "Expect"};
+
+void append_fields(std::string& out, header_list const& headers)
+{
+    for (auto const& field : headers)
+    {
+        out.append(field.name_).append(": ");
+        out.append(field.value_).append("\r\n");
+    }
+}
+
+void append_status_line(std::string& out, http_response const& response)
+{
+    out.append("HTTP/1.1 ").append(std::to_string(response.status_));
+    out.append(" ");
+    out.append(response.reason_.empty() ? reason_for(response.status_)
+                                        : response.reason_);
+    out.append("\r\n");
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals(boost::beast::string_view{a.data(), a.size()},
+                                 boost::beast::string_view{b.data(), b.size()});
+}
+
+void header_list::add(std::string name, std::string value)
+{
+    fields_.push_back({std::move(name), std::move(value)});
+}
+
+void header_list::set(std::string const& name, std::string value)
+{
+    remove(name);
+    add(name, std::move(value));
+}
+
+void header_list::remove(std::string_view name)
+{
+    std::erase_if(fields_, [&](header_field const& f)
+                  { return same_name(f.name_, name); });
+}
+
+std::string const* header_list::find(std::string_view name) const
+{
+    auto const found = std::find_if(fields_.begin(), fields_.end(),
+                                    [&](header_field const& f)
+                                    { return same_name(f.name_, name); });
+    return found == fields_.end() ? nullptr : &found->value_;
+}
+
+std::size_t header_list::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(fields_.begin(), fields_.end(),
+                      [&](header_field const& f)
+                      { return same_name(f.name_, name); }));
+}
+
+bool header_list::has_token(std::string_view name, std::string_view token) const
+{
+    for (auto const& field : fields_)
+    {
+        if (!same_name(field.name_, name))
+        {
+            continue;
+        }
+        boost::beast::http::token_list tokens{
+            {field.value_.data(), field.value_.size()}};
+        if (tokens.exists({token.data(), token.size()}))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void remove_connection_fields(header_list& headers)
+{
+    std::vector<std::string> named;
+    for (auto const& field : headers)
+    {
+        if (!same_name(field.name_, "Connection"))
+        {
+            continue;
+        }
+        boost::beast::http::token_list const tokens{
+            {field.value_.data(), field.value_.size()}};
+        for (auto const& token : tokens)
+        {
+            named.emplace_back(token);
+        }
+    }
+    for (auto const& name : named)
+    {
+        headers.remove(name);
+    }
+    for (auto const name : connection_fields)
+    {
+        headers.remove(name);
+    }
+}
+
+std::string to_text(http_request const& request)
+{
+    std::string out;
+    out.reserve(512 + request.body_.size());
+    out.append(request.method_).append(" ").append(request.target_);
+    out.append(" HTTP/1.1\r\n");
+    append_fields(out, request.headers_);
+    auto const has_body = !request.body_.empty() || request.method_ == "POST" ||
+                          request.method_ == "PUT" ||
+                          request.method_ == "PATCH";
+    if (has_body)
+    {
+        out.append("Content-Length: ")
+            .append(std::to_string(request.body_.size()))
+            .append("\r\n");
+    }
+    return out.append("\r\n").append(request.body_);
+}
+
+std::string to_text(http_response const& response, bool keeps_open)
+{
+    std::string out;
+    out.reserve(256 + response.body_.size());
+    append_status_line(out, response);
+    append_fields(out, response.headers_);
+    if (!keeps_open)
+    {
+        out.append("Connection: close\r\n");
+    }
+    // These have no body and must not name a length.
+    if (response.status_ != 204 && response.status_ != 304)
+    {
+        out.append("Content-Length: ")
+            .append(std::to_string(response.body_.size()))
+            .append("\r\n");
+    }
+    return out.append("\r\n").append(response.body_);
+}
+
+std::string to_chunked_head(http_response const& head, bool keeps_open)
+{
+    std::string out;
+    append_status_line(out, head);
+    append_fields(out, head.headers_);
+    if (!keeps_open)
+    {
+        out.append("Connection: close\r\n");
+    }
+    return out.append("Transfer-Encoding: chunked\r\n\r\n");
+}
+
+std::string to_chunk(std::string_view bytes)
+{
+    std::array<char, 2 * sizeof(std::size_t)> size{};
+    auto const end = std::to_chars(size.data(), size.data() + size.size(),
+                                   bytes.size(), 16)
+                         .ptr;
+    std::string out{size.data(), end};
+    return out.append("\r\n").append(bytes).append("\r\n");
+}
+
+char const* reason_for(int status)
+{
+    auto const known = boost::beast::http::int_to_status(
+        static_cast<unsigned>(std::max(status, 0)));
+    return boost::beast::http::obsolete_reason(known).data();
+}
+
+} // namespace tanagerlead::net
--- /dev/null
+++ b/src/net/socket_options.cpp
@@ -0,0 +1,50 @@
+#include "src/net/socket_options.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <netinet/tcp.h>
+
+namespace tanagerlead::net
+{
+
+namespace
+{
+
+/// Seconds of silence before the first probe and between probes.
+constexpr int probe_seconds = 1;
+/// Probes without an answer after which the connection is dead.
+constexpr int most_probes = 2;
+
+void set_int(tcp::socket& socket, int level, int name, int value)
+{
+    // A socket that is closing already refuses; its next use reports why.
+    (void)::setsockopt(socket.native_handle(), level, name, &value,
+                       sizeof value);
+}
+
+} // namespace
+
+void set_options(tcp::socket& socket, base::duration patience)
+{
+    auto const ms = static_cast<int>(base::milliseconds(patience));
+    set_int(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_int(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_int(socket, IPPROTO_TCP, TCP_KEEPIDLE, probe_seconds);
+    set_int(socket, IPPROTO_TCP, TCP_KEEPINTVL, probe_seconds);
+    set_int(socket, IPPROTO_TCP, TCP_KEEPCNT, most_probes);
+    set_int(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+}
+
+tcp::endpoint to_endpoint(base::address const& address)
+{
+    boost::system::error_code error;
+    auto const ip = asio::ip::make_address_v4(address.ip_, error);
+    return {ip, address.port_};
+}
+
+base::address to_address(tcp::endpoint const& endpoint)
+{
+    return {endpoint.address().to_string(), endpoint.port()};
+}
+
+} // namespace tanagerlead::net
--- /dev/null
+++ b/src/net/udp_port.cpp
@@ -0,0 +1,71 @@
+#include "src/net/udp_port.hpp"
+
+namespace tanagerlead::net
+{
+
+using asio::ip::udp;
+
+udp_port::udp_port(asio::io_context& loop, received arrived)
+    : socket_{loop}, received_{std::move(arrived)}
+{
+}
+
+base::result<void> udp_port::open(std::string const& ip, std::uint16_t port)
+{
+    error_code error;
+    auto const at = udp::endpoint{asio::ip::make_address_v4(ip, error), port};
+    socket_.open(udp::v4(), error);
+    if (!error)
+    {
+        socket_.bind(at, error);
+    }
+    if (!error)
+    {
+        socket_.non_blocking(true, error);
+    }
+    if (error)
+    {
+        return base::fail(base::error_code::unavailable, "bind datagram port",
+                          ip + ":" + std::to_string(port), error.message());
+    }
+    port_ = socket_.local_endpoint(error).port();
+    receive();
+    return base::success();
+}
+
+void udp_port::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(arrived_), from_,
+        [this](error_code const& error, std::size_t count)
+        {
+            if (error == asio::error::operation_aborted || !socket_.is_open())
+            {
+                return;
+            }
+            // An error here is a peer's closed port, reported late.
+            if (!error)
+            {
+                received_(from_.address().to_v4().to_uint(),
+                          {arrived_.data(), count});
+            }
+            receive();
+        });
+}
+
+void udp_port::send(std::uint32_t to_ip, std::string const& bytes)
+{
+    error_code error;
+    socket_.send_to(asio::buffer(bytes),
+                    udp::endpoint{asio::ip::address_v4{to_ip}, port_}, 0,
+                    error);
+    // Reports are whole each time; the next one makes up for a lost one.
+}
+
+void udp_port::close()
+{
+    error_code error;
+    socket_.close(error);
+}
+
+} // namespace tanagerlead::net
--- a/src/request/claim_bucket.cpp
+++ b/src/request/claim_bucket.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-using platform::commit_outcome;
-using platform::key_value_write;
+using external::commit_outcome;
+using external::key_value_write;
 
 constexpr int settle_tries = 6;
 constexpr auto rate_limit_pause = std::chrono::milliseconds{50};
@@ -51,7 +51,7 @@
 
 } // namespace
 
-claim_bucket::claim_bucket(platform::key_value_store& store, std::size_t number,
+claim_bucket::claim_bucket(external::key_value_store& store, std::size_t number,
                            wall_clock now)
     : store_{store}, prefix_{"tanagerlead/claims/" + std::to_string(number) +
                              "/"},
--- a/src/request/claim_bucket.hpp
+++ b/src/request/claim_bucket.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "src/platform/key_value.hpp"
+#include "src/external/key_value.hpp"
 #include "src/request/claim_page.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -35,7 +35,7 @@
 class claim_bucket
 {
 public:
-    claim_bucket(platform::key_value_store& store, std::size_t number,
+    claim_bucket(external::key_value_store& store, std::size_t number,
                  wall_clock now);
 
     /// Decides the whole group with one write, as far as nobody else writes.
@@ -63,13 +63,13 @@
     void forget_before(std::uint64_t sequence);
     claim_entry const* find(claim_page const& open,
                             claim_digest const& digest) const;
-    std::vector<platform::key_value_write>
+    std::vector<external::key_value_write>
     plan_writes(open_page const& open, std::vector<claim_entry> const& added);
-    void seal(claim_page& page, std::vector<platform::key_value_write>& writes);
+    void seal(claim_page& page, std::vector<external::key_value_write>& writes);
     std::string sealed_prefix() const;
     std::string sealed_key(std::uint64_t sequence) const;
 
-    platform::key_value_store& store_;
+    external::key_value_store& store_;
     std::string prefix_;
     wall_clock now_;
     /// Of the sealed pages.
--- a/src/request/kv_claim_store.cpp
+++ b/src/request/kv_claim_store.cpp
@@ -12,7 +12,7 @@
 class kv_claim_store::group
 {
 public:
-    group(platform::key_value_store& store, std::size_t number, wall_clock now,
+    group(external::key_value_store& store, std::size_t number, wall_clock now,
           base::clock const& clock, base::duration write_interval)
         : bucket_{store, number, std::move(now)}, clock_{clock},
           write_interval_{write_interval}
@@ -107,7 +107,7 @@
     bool leading_ = false;
 };
 
-kv_claim_store::kv_claim_store(platform::key_value_store& store,
+kv_claim_store::kv_claim_store(external::key_value_store& store,
                                base::clock const& clock, wall_clock const& now,
                                claim_settings settings)
     : settings_{settings}
--- a/src/request/kv_claim_store.hpp
+++ b/src/request/kv_claim_store.hpp
@@ -37,7 +37,7 @@
     using forwarder = std::function<std::optional<base::result<claim>>(
         std::size_t bucket, claim const& wanted)>;
 
-    kv_claim_store(platform::key_value_store& store, base::clock const& clock,
+    kv_claim_store(external::key_value_store& store, base::clock const& clock,
                    wall_clock const& now, claim_settings settings = {});
     ~kv_claim_store() override;
 
--- /dev/null
+++ b/src/routing/configuration.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "src/routing/route.hpp"
+
+#include <memory>
+#include <string_view>
+
+namespace tanagerlead::routing
+{
+
+/// Why a request goes nowhere, or where it goes.
+enum class lookup_verdict : std::uint8_t
+{
+    found,
+    no_route,
+    no_key,
+};
+
+struct lookup_result
+{
+    lookup_verdict verdict_ = lookup_verdict::no_route;
+    /// Null unless found.
+    route const* route_ = nullptr;
+    /// Null for an anonymous caller.
+    workspace const* workspace_ = nullptr;
+};
+
+/// One version of the routes and workspaces. Immutable once published.
+class configuration
+{
+public:
+    configuration(base::config_version version, std::vector<route> routes,
+                  std::vector<workspace> workspaces, caller_limits limits);
+
+    base::config_version version() const { return version_; }
+    caller_limits const& limits() const { return limits_; }
+    std::vector<route> const& routes() const { return routes_; }
+    std::vector<workspace> const& workspaces() const { return workspaces_; }
+
+    /// The route with the longest prefix of `path` at `host`, and the
+    /// workspace that holds `key`. `path` may end in a query.
+    lookup_result find(std::string_view host, std::string_view path,
+                       std::string_view key) const;
+
+private:
+    struct key_entry
+    {
+        std::string key_;
+        std::size_t workspace_ = 0;
+    };
+
+    route const* find_route(std::string_view host, std::string_view path) const;
+    workspace const* find_workspace(std::string_view key) const;
+
+    base::config_version version_;
+    /// By host, then longest prefix first.
+    std::vector<route> routes_;
+    std::vector<workspace> workspaces_;
+    /// Sorted by key.
+    std::vector<key_entry> keys_;
+    caller_limits limits_;
+};
+
+using configuration_ptr = std::shared_ptr<configuration const>;
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/dispatcher.cpp
@@ -0,0 +1,487 @@
+#include "src/routing/dispatcher.hpp"
+
+#include "src/sched/cost.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace tanagerlead::routing
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Pauses after failed connects: a restarted target is back within seconds.
+constexpr sched::target_health::settings pauses{300ms, 2s};
+/// Parts of its objective that a request waits before it is refused. Longer
+/// waits for the first tier, which is worth most when late.
+constexpr double patience_first_tier = 2.5;
+constexpr double patience = 1.0;
+/// Added to the cost of a target in another data centre, in parts of the mean.
+constexpr double distance_cost = 0.15;
+/// Growth of the cost from an idle to a full target, in parts.
+constexpr double load_cost = 0.5;
+/// Cost of a target whose answers all fail, in parts of the mean.
+constexpr double failure_cost = 8.0;
+/// Reading a prompt delays all that run beside it: tokens read in the time of
+/// one event of theirs.
+constexpr double prompt_tokens_per_event = 1500;
+/// Subtracted for the target to which the shared part of the prompt belongs.
+constexpr double affinity_gain = 0.25;
+/// Random part of the cost, so that daemons do not all choose alike.
+constexpr double cost_jitter = 0.1;
+/// Weight of the newest request in the mean time that a place is held.
+constexpr double place_gain = 0.05;
+/// Bounds of the advice when to come back.
+constexpr base::duration shortest_retry = 150ms;
+constexpr base::duration longest_retry = 5s;
+/// Free places can appear without news from a daemon that fell silent.
+constexpr base::duration look_again = 50ms;
+
+} // namespace
+
+dispatcher::dispatcher(settings s, peer_board const& peers)
+    : settings_{std::move(s)}, peers_{peers}, random_{settings_.seed_}
+{
+}
+
+dispatcher::pool_record& dispatcher::pool(base::pool_id const& id)
+{
+    auto const [place, is_new] = pools_.try_emplace(id);
+    if (is_new)
+    {
+        place->second.digest_ = digest_of(id.str());
+    }
+    return place->second;
+}
+
+void dispatcher::set_targets(std::vector<target_info> const& targets,
+                             base::time_point)
+{
+    std::map<base::target_id, target_record> next;
+    for (auto const& info : targets)
+    {
+        auto const known = targets_.find(info.id_);
+        target_record record;
+        record.health_ = sched::target_health{pauses};
+        if (known != targets_.end())
+        {
+            // A new life under an old id starts with nothing.
+            if (known->second.info_.birth_ == info.birth_)
+            {
+                record = std::move(known->second);
+            }
+        }
+        record.own_ = 0;
+        record.info_ = info;
+        record.digest_ = digest_of(info.id_.str());
+        next.emplace(info.id_, std::move(record));
+    }
+    targets_ = std::move(next);
+    for (auto const& [request, run] : in_flight_)
+    {
+        auto const there = targets_.find(run.target_);
+        if (there != targets_.end())
+        {
+            ++there->second.own_;
+        }
+    }
+    for (auto& [id, p] : pools_)
+    {
+        p.targets_.clear();
+    }
+    for (auto& [id, record] : targets_)
+    {
+        pool(record.info_.pool_).targets_.push_back(&record);
+    }
+}
+
+target_info const* dispatcher::find(base::target_id const& id) const
+{
+    auto const found = targets_.find(id);
+    return found == targets_.end() ? nullptr : &found->second.info_;
+}
+
+int dispatcher::places(pool_record const& p) const
+{
+    int sum = 0;
+    for (auto const* t : p.targets_)
+    {
+        sum += t->info_.draining_ ? 0 : t->info_.slots_;
+    }
+    return sum;
+}
+
+int dispatcher::free_places(target_record const& t, base::time_point now) const
+{
+    if (t.info_.draining_)
+    {
+        return 0;
+    }
+    auto const used = t.own_ + peers_.in_flight_elsewhere(t.digest_);
+    auto const limit = t.health_.most_outstanding(t.info_.slots_, now);
+    return std::max(0, limit - used);
+}
+
+int dispatcher::free_places(pool_record const& p, base::time_point now) const
+{
+    int sum = 0;
+    for (auto const* t : p.targets_)
+    {
+        sum += free_places(*t, now);
+    }
+    return sum;
+}
+
+double dispatcher::mean_pace(pool_record const& p) const
+{
+    double sum = 0;
+    int known = 0;
+    for (auto const* t : p.targets_)
+    {
+        if (t->pace_.is_known())
+        {
+            sum += t->pace_.seconds_per_unit(0);
+            ++known;
+        }
+    }
+    return known == 0 ? 1.0 : sum / known;
+}
+
+double dispatcher::cost(target_record const& t, call_item const& call,
+                        double mean) const
+{
+    auto const used = t.own_ + peers_.in_flight_elsewhere(t.digest_);
+    auto const slots = std::max(1, t.info_.slots_);
+    auto const pace = t.pace_.seconds_per_unit(mean) / mean;
+    auto const load = static_cast<double>(used) / slots;
+    auto const prompt = static_cast<double>(call.work_.prompt_tokens_) /
+                        prompt_tokens_per_event;
+    // Each request there waits while the prompt is read.
+    auto const harm = pace * prompt * load;
+    auto const far = t.info_.data_centre_ != settings_.data_centre_;
+    return pace * (1.0 + load_cost * load) + harm +
+           (far ? distance_cost : 0.0) + failure_cost * t.failures_.value();
+}
+
+// Rendezvous hashing: all daemons agree on the target, and a change of the
+// targets moves few keys.
+dispatcher::target_record const*
+dispatcher::home_of(pool_record const& p, std::uint64_t affinity)
+{
+    target_record const* home = nullptr;
+    std::uint64_t highest = 0;
+    for (auto const* t : p.targets_)
+    {
+        auto const weight = base::random_source{
+            affinity ^ static_cast<std::uint64_t>(t->digest_)}();
+        if (affinity != 0 && !t->info_.draining_ && weight >= highest)
+        {
+            highest = weight;
+            home = t;
+        }
+    }
+    return home;
+}
+
+bool dispatcher::has_target(pool_record const& p, call_item const& call) const
+{
+    return std::any_of(p.targets_.begin(), p.targets_.end(),
+                       [&](target_record const* t)
+                       {
+                           return !t->info_.draining_ &&
+                                  std::find(call.tried_.begin(),
+                                            call.tried_.end(),
+                                            t->info_.id_) ==
+                                      call.tried_.end();
+                       });
+}
+
+dispatcher::target_record* dispatcher::choose(pool_record const& p,
+                                              call_item const& call,
+                                              base::time_point now)
+{
+    auto const mean = mean_pace(p);
+    auto const* const home = home_of(p, call.affinity_);
+    target_record* best = nullptr;
+    auto lowest = std::numeric_limits<double>::max();
+    for (auto* const t : p.targets_)
+    {
+        auto const tried = std::find(call.tried_.begin(), call.tried_.end(),
+                                     t->info_.id_) != call.tried_.end();
+        if (tried || free_places(*t, now) <= 0)
+        {
+            continue;
+        }
+        auto const c = cost(*t, call, mean) + cost_jitter * random_.uniform() -
+                       (t == home ? affinity_gain : 0.0);
+        if (c < lowest)
+        {
+            lowest = c;
+            best = t;
+        }
+    }
+    return best;
+}
+
+base::duration dispatcher::expected_wait(pool_record const& p,
+                                         base::tier tier) const
+{
+    auto const all = places(p);
+    if (all == 0 || p.place_seconds_ == 0)
+    {
+        return {};
+    }
+    int ahead = peers_.waiting_up_to(p.digest_, tier);
+    for (std::size_t t = 0; t <= base::index(tier); ++t)
+    {
+        ahead += p.waiting_.at(t);
+    }
+    return base::from_seconds(ahead * p.place_seconds_ / all);
+}
+
+base::duration dispatcher::retry_after(base::pool_id const& id, base::tier tier)
+{
+    auto const wait = expected_wait(pool(id), tier);
+    auto const spread = 0.75 + 0.5 * random_.uniform();
+    auto const jittered = base::from_seconds(
+        base::seconds(std::max(wait, shortest_retry)) * spread);
+    return std::min(jittered, longest_retry);
+}
+
+void dispatcher::submit(call_item item, base::time_point now)
+{
+    auto& p = pool(item.work_.pool_);
+    auto const request = item.work_.request_;
+    assert(!waiting_.contains(request) && !in_flight_.contains(request));
+    if (!has_target(p, item))
+    {
+        refuse(request, sched::refusal_cause::no_target, refused_);
+        return;
+    }
+    auto const tier = item.work_.tier_;
+    auto const hold = base::from_seconds(
+        base::seconds(item.objective_) *
+        (base::index(tier) == 0 ? patience_first_tier : patience));
+    if (expected_wait(p, tier) > hold)
+    {
+        auto const advice = retry_after(item.work_.pool_, tier);
+        refused_.push_back(sched::refusal{
+            request, {}, sched::refusal_cause::overloaded, advice});
+        return;
+    }
+    auto w = std::make_unique<waiting_call>();
+    w->item_ = item.work_;
+    w->cost_ = sched::cost_of(item.work_.prompt_tokens_,
+                              item.work_.most_output_tokens_);
+    w->enqueued_ = now;
+    w->expires_ = std::min(now + hold, item.work_.deadline_);
+    w->expiry_cause_ = item.work_.deadline_ <= now + hold
+                           ? sched::refusal_cause::deadline
+                           : sched::refusal_cause::overloaded;
+    w->call_ = std::move(item);
+    expiries_.add(w->expires_, request);
+    p.queue_.push(*w);
+    ++p.waiting_.at(base::index(tier));
+    waiting_.emplace(request, std::move(w));
+}
+
+std::unique_ptr<dispatcher::waiting_call>
+dispatcher::remove(base::request_id request)
+{
+    auto const found = waiting_.find(request);
+    if (found == waiting_.end())
+    {
+        return nullptr;
+    }
+    auto w = std::move(found->second);
+    waiting_.erase(found);
+    expiries_.remove(w->expires_, request);
+    --pool(w->item_.pool_).waiting_.at(base::index(w->item_.tier_));
+    return w;
+}
+
+void dispatcher::withdraw(base::request_id request)
+{
+    if (auto const w = remove(request))
+    {
+        pool(w->item_.pool_).queue_.erase(*w);
+    }
+}
+
+void dispatcher::refuse(base::request_id request, sched::refusal_cause cause,
+                        std::vector<sched::action>& out)
+{
+    out.push_back(sched::refusal{request, {}, cause, shortest_retry});
+}
+
+void dispatcher::expire(base::time_point now, std::vector<sched::action>& out)
+{
+    while (expiries_.due(now))
+    {
+        auto const w = remove(expiries_.first());
+        auto const& item = w->item_;
+        pool(item.pool_).queue_.erase(*w);
+        out.push_back(sched::refusal{item.request_,
+                                     {},
+                                     w->expiry_cause_,
+                                     retry_after(item.pool_, item.tier_)});
+    }
+}
+
+bool dispatcher::yields(pool_record const& p, base::tier tier, int free) const
+{
+    return peers_.waiting_before(p.digest_, tier) >= free;
+}
+
+void dispatcher::serve(pool_record& p, base::time_point now,
+                       std::vector<sched::action>& out)
+{
+    auto free = p.queue_.front(base::tier{base::max_tiers - 1}) == nullptr
+                    ? 0
+                    : free_places(p, now);
+    while (free > 0)
+    {
+        auto* const front = p.queue_.front(base::tier{base::max_tiers - 1});
+        if (front == nullptr || yields(p, front->item_.tier_, free))
+        {
+            return;
+        }
+        auto& call = static_cast<waiting_call*>(front)->call_;
+        auto const request = front->item_.request_;
+        auto* const target = choose(p, call, now);
+        if (target == nullptr)
+        {
+            // Every free place is at a target that it was sent to.
+            withdraw(request);
+            refuse(request, sched::refusal_cause::no_target, out);
+            continue;
+        }
+        p.queue_.take(*front);
+        auto const w = remove(request);
+        ++target->own_;
+        --free;
+        in_flight_.emplace(
+            request, running_call{target->info_.id_, w->item_.pool_, now});
+        out.push_back(sched::grant{request, {}, target->info_.id_});
+    }
+}
+
+void dispatcher::advance(base::time_point now, std::vector<sched::action>& out)
+{
+    out.insert(out.end(), refused_.begin(), refused_.end());
+    refused_.clear();
+    expire(now, out);
+    for (auto& [id, p] : pools_)
+    {
+        serve(p, now, out);
+    }
+    last_advance_ = now;
+}
+
+base::time_point dispatcher::next_wakeup() const
+{
+    if (!refused_.empty())
+    {
+        return base::time_point::min();
+    }
+    if (waiting_.empty())
+    {
+        return base::time_point::max();
+    }
+    return std::min(expiries_.next(), last_advance_ + look_again);
+}
+
+void dispatcher::on_end(base::request_id request, call_end end,
+                        base::time_point now)
+{
+    auto const found = in_flight_.find(request);
+    if (found == in_flight_.end())
+    {
+        return;
+    }
+    auto const run = found->second;
+    in_flight_.erase(found);
+    auto const known = targets_.find(run.target_);
+    if (known != targets_.end())
+    {
+        auto& t = known->second;
+        --t.own_;
+        assert(t.own_ >= 0);
+        if (end == call_end::not_connected)
+        {
+            t.health_.on_lost(run.dispatched_, now);
+        }
+        else if (end != call_end::cancelled)
+        {
+            t.health_.on_progress(now);
+            t.failures_.add(end != call_end::finished);
+        }
+    }
+    if (end == call_end::finished)
+    {
+        auto& p = pool(run.pool_);
+        auto const held = base::seconds(now - run.dispatched_);
+        p.place_seconds_ += p.place_seconds_ == 0
+                                ? held
+                                : place_gain * (held - p.place_seconds_);
+    }
+}
+
+void dispatcher::on_pace(base::target_id const& target, base::duration took,
+                         double units)
+{
+    auto const known = targets_.find(target);
+    if (known != targets_.end())
+    {
+        known->second.pace_.observe(base::seconds(took), units);
+    }
+}
+
+void dispatcher::on_reachable(base::target_id const& target, bool reachable,
+                              base::time_point now)
+{
+    auto const known = targets_.find(target);
+    if (known == targets_.end())
+    {
+        return;
+    }
+    if (reachable)
+    {
+        known->second.health_.on_progress(now);
+    }
+    else
+    {
+        known->second.health_.on_lost(now, now);
+    }
+}
+
+void dispatcher::report_usage(peer_report& out) const
+{
+    for (auto const& [id, t] : targets_)
+    {
+        if (t.own_ > 0 && out.in_flight_.size() < peer_report::most_targets)
+        {
+            out.in_flight_.push_back(
+                {t.digest_, static_cast<std::uint16_t>(t.own_)});
+        }
+    }
+    for (auto const& [id, p] : pools_)
+    {
+        for (std::size_t tier = 0; tier < p.waiting_.size(); ++tier)
+        {
+            auto const count = p.waiting_.at(tier);
+            if (count > 0 && out.waiting_.size() < peer_report::most_waiting)
+            {
+                out.waiting_.push_back({p.digest_,
+                                        static_cast<std::uint8_t>(tier),
+                                        static_cast<std::uint16_t>(count)});
+            }
+        }
+    }
+}
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/dispatcher.hpp
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "src/base/random.hpp"
+#include "src/routing/peer_board.hpp"
+#include "src/routing/target_info.hpp"
+#include "src/routing/target_pace.hpp"
+#include "src/sched/expiry_queue.hpp"
+#include "src/sched/fair_queue.hpp"
+#include "src/sched/target_health.hpp"
+#include "src/sched/types.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace tanagerlead::routing
+{
+
+/// A request that wants a target.
+struct call_item
+{
+    sched::work_item work_;
+    /// Time to the answer, or to the first event, that counts as on time.
+    base::duration objective_{};
+    /// Targets that it was sent to; it goes to none of them again.
+    std::vector<base::target_id> tried_;
+    /// Of the part of the prompt that a later request may share; 0: none.
+    std::uint64_t affinity_ = 0;
+};
+
+/// How a dispatched request ended at its target.
+enum class call_end : std::uint8_t
+{
+    finished,
+    /// The caller left, or its time was over.
+    cancelled,
+    /// No connection.
+    not_connected,
+    rejected,
+    /// An error, a broken connection, or silence.
+    failed,
+};
+
+/// Chooses order and targets for the requests of one daemon. Load it answers:
+/// more work than the fleet can do, at unlike targets that admit in order of
+/// arrival and know no tiers. Each target gets at most as many requests as it
+/// runs at once, counting those of all daemons; the others wait here, higher
+/// tiers first and workspaces fairly within a tier. A daemon whose best
+/// request is of a lower tier leaves free places to requests of higher tiers
+/// that wait at other daemons. What would wait too long is refused at once.
+class dispatcher
+{
+public:
+    struct settings
+    {
+        base::data_centre_id data_centre_;
+        std::uint64_t seed_ = 0;
+    };
+
+    /// `peers` outlives it.
+    dispatcher(settings s, peer_board const& peers);
+
+    void set_targets(std::vector<target_info> const& targets,
+                     base::time_point now);
+
+    void submit(call_item item, base::time_point now);
+    /// Forgets a request that waits. Nothing when it does not.
+    void withdraw(base::request_id request);
+    /// A dispatched request is over.
+    void on_end(base::request_id request, call_end end, base::time_point now);
+    /// `units` of work of a dispatched request took this long.
+    void on_pace(base::target_id const& target, base::duration took,
+                 double units);
+    /// A connect without a request failed, or worked.
+    void on_reachable(base::target_id const& target, bool reachable,
+                      base::time_point now);
+
+    /// Grants and refusals that are due.
+    void advance(base::time_point now, std::vector<sched::action>& out);
+    base::time_point next_wakeup() const;
+
+    target_info const* find(base::target_id const& id) const;
+    /// Own requests at each target that has any, and those that wait.
+    void report_usage(peer_report& out) const;
+    std::size_t waiting() const { return waiting_.size(); }
+    std::size_t in_flight() const { return in_flight_.size(); }
+    /// When a refused request of this pool and tier may come back.
+    base::duration retry_after(base::pool_id const& pool, base::tier tier);
+
+private:
+    struct target_record
+    {
+        target_info info_;
+        id_digest digest_{};
+        int own_ = 0;
+        target_pace pace_;
+        failure_rate failures_;
+        sched::target_health health_;
+    };
+
+    struct waiting_call : sched::waiting_request
+    {
+        call_item call_;
+    };
+
+    struct running_call
+    {
+        base::target_id target_;
+        base::pool_id pool_;
+        base::time_point dispatched_;
+    };
+
+    struct pool_record
+    {
+        id_digest digest_{};
+        sched::fair_queue queue_;
+        std::array<int, base::max_tiers> waiting_{};
+        std::vector<target_record*> targets_;
+        /// Mean time that a request holds a place.
+        double place_seconds_ = 0;
+    };
+
+    pool_record& pool(base::pool_id const& id);
+    void expire(base::time_point now, std::vector<sched::action>& out);
+    void serve(pool_record& p, base::time_point now,
+               std::vector<sched::action>& out);
+    bool yields(pool_record const& p, base::tier tier, int free) const;
+    int free_places(target_record const& t, base::time_point now) const;
+    int free_places(pool_record const& p, base::time_point now) const;
+    int places(pool_record const& p) const;
+    double mean_pace(pool_record const& p) const;
+    target_record* choose(pool_record const& p, call_item const& call,
+                          base::time_point now);
+    double cost(target_record const& t, call_item const& call,
+                double mean) const;
+    static target_record const* home_of(pool_record const& p,
+                                        std::uint64_t affinity);
+    bool has_target(pool_record const& p, call_item const& call) const;
+    base::duration expected_wait(pool_record const& p, base::tier tier) const;
+    void refuse(base::request_id request, sched::refusal_cause cause,
+                std::vector<sched::action>& out);
+    std::unique_ptr<waiting_call> remove(base::request_id request);
+
+    settings settings_;
+    peer_board const& peers_;
+    base::random_source random_;
+    std::map<base::target_id, target_record> targets_;
+    std::map<base::pool_id, pool_record> pools_;
+    absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_call>>
+        waiting_;
+    absl::flat_hash_map<base::request_id, running_call> in_flight_;
+    sched::expiry_queue expiries_;
+    base::time_point last_advance_ = base::time_point::min();
+    std::vector<sched::action> refused_;
+};
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/peer_board.cpp
@@ -0,0 +1,226 @@
+#include "src/routing/peer_board.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace tanagerlead::routing
+{
+
+std::vector<spent_units> peer_board::difference(peer_report const& before,
+                                                peer_report const& after)
+{
+    std::vector<spent_units> out;
+    for (auto const& spent : after.spent_)
+    {
+        auto const known =
+            std::find_if(before.spent_.begin(), before.spent_.end(),
+                         [&](spent_units const& s)
+                         { return s.workspace_ == spent.workspace_; });
+        auto const units = known == before.spent_.end()
+                               ? spent.units_
+                               : spent.units_ - known->units_;
+        if (units != 0)
+        {
+            out.push_back({spent.workspace_, units});
+        }
+    }
+    return out;
+}
+
+void peer_board::count(peer_report const& report, int sign)
+{
+    for (auto const& usage : report.in_flight_)
+    {
+        auto const place = in_flight_.try_emplace(usage.target_, 0).first;
+        place->second += sign * usage.in_flight_;
+        if (place->second == 0)
+        {
+            in_flight_.erase(place);
+        }
+    }
+    for (auto const& w : report.waiting_)
+    {
+        if (w.tier_ < base::max_tiers)
+        {
+            waiting_[w.pool_].at(w.tier_) += sign * w.count_;
+        }
+    }
+}
+
+void peer_board::set_counted(peer& p, bool counted)
+{
+    if (p.counted_ != counted)
+    {
+        count(p.last_, counted ? 1 : -1);
+        p.counted_ = counted;
+    }
+}
+
+peer_board::news peer_board::on_report(peer_ip from, peer_report const& report,
+                                       base::time_point now)
+{
+    news out;
+    auto& p = peers_[from];
+    auto const same_life = p.reported_ && p.last_.life_ == report.life_;
+    if (same_life && report.number_ <= p.last_.number_)
+    {
+        return out;
+    }
+    out.is_new_ = true;
+    out.is_new_life_ = !same_life;
+    set_counted(p, false);
+    auto fresh = report;
+    // What a daemon spent before it was first heard is not known to be recent.
+    if (same_life)
+    {
+        out.spent_more_ = difference(p.last_, report);
+        // A workspace that the report leaves out keeps its total.
+        for (auto const& old : p.last_.spent_)
+        {
+            auto const told = std::any_of(
+                report.spent_.begin(), report.spent_.end(),
+                [&](spent_units const& s)
+                { return s.workspace_ == old.workspace_; });
+            if (!told)
+            {
+                fresh.spent_.push_back(old);
+            }
+        }
+    }
+    p.last_ = std::move(fresh);
+    p.reported_ = true;
+    p.is_member_ = true;
+    p.heard_ = now;
+    set_counted(p, true);
+    return out;
+}
+
+void peer_board::on_named(peer_ip daemon, base::time_point now)
+{
+    auto& p = peers_[daemon];
+    p.named_ = now;
+    p.is_member_ = true;
+}
+
+void peer_board::on_seed(peer_ip daemon, base::time_point now)
+{
+    peers_[daemon].named_ = now;
+}
+
+void peer_board::on_listed(std::vector<peer_ip> const& daemons,
+                           base::time_point now)
+{
+    for (auto const daemon : daemons)
+    {
+        on_named(daemon, now);
+    }
+}
+
+void peer_board::refresh(base::time_point now)
+{
+    for (auto& [ip, p] : peers_)
+    {
+        set_counted(p, p.is_heard(now));
+    }
+    absl::erase_if(peers_,
+                   [&](auto const& entry)
+                   {
+                       auto const& p = entry.second;
+                       return !p.counted_ &&
+                              now - std::max(p.heard_, p.named_) > memory;
+                   });
+}
+
+int peer_board::in_flight_elsewhere(id_digest target) const
+{
+    auto const found = in_flight_.find(target);
+    return found == in_flight_.end() ? 0 : found->second;
+}
+
+int peer_board::waiting_before(id_digest pool, base::tier tier) const
+{
+    auto const found = waiting_.find(pool);
+    if (found == waiting_.end())
+    {
+        return 0;
+    }
+    auto const end = found->second.begin() +
+                     static_cast<std::ptrdiff_t>(base::index(tier));
+    return std::accumulate(found->second.begin(), end, 0);
+}
+
+int peer_board::waiting_up_to(id_digest pool, base::tier tier) const
+{
+    auto const next = std::min(base::index(tier) + 1, base::max_tiers - 1);
+    return waiting_before(pool, base::tier{static_cast<std::uint8_t>(next)});
+}
+
+std::vector<peer_ip> peer_board::known() const
+{
+    std::vector<peer_ip> out;
+    out.reserve(peers_.size());
+    for (auto const& [ip, p] : peers_)
+    {
+        out.push_back(ip);
+    }
+    return out;
+}
+
+std::vector<peer_ip> peer_board::heard(base::time_point now) const
+{
+    std::vector<peer_ip> out;
+    for (auto const& [ip, p] : peers_)
+    {
+        if (p.is_heard(now))
+        {
+            out.push_back(ip);
+        }
+    }
+    return out;
+}
+
+std::vector<peer_ip> peer_board::ready(std::optional<id_digest> data_centre,
+                                       base::time_point now) const
+{
+    std::vector<peer_ip> out;
+    for (auto const& [ip, p] : peers_)
+    {
+        auto const there =
+            !data_centre || p.last_.data_centre_ == *data_centre;
+        if (there && p.is_heard(now) && p.last_.state_ == daemon_state::ready)
+        {
+            out.push_back(ip);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+double peer_board::heard_part(base::time_point now) const
+{
+    std::size_t heard = 1;
+    std::size_t all = 1;
+    for (auto const& [ip, p] : peers_)
+    {
+        heard += p.is_heard(now) ? 1 : 0;
+        all += p.is_member_ ? 1 : 0;
+    }
+    return static_cast<double>(heard) / static_cast<double>(all);
+}
+
+std::optional<peer_ip> peer_board::newer_config(std::uint64_t than,
+                                                base::time_point now) const
+{
+    std::optional<peer_ip> best;
+    for (auto const& [ip, p] : peers_)
+    {
+        if (p.is_heard(now) && p.last_.config_version_ > than)
+        {
+            than = p.last_.config_version_;
+            best = ip;
+        }
+    }
+    return best;
+}
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/peer_report.cpp
@@ -0,0 +1,14 @@
+#include "src/routing/peer_report.hpp"
+
+#include <xxhash.h>
+
+namespace tanagerlead::routing
+{
+
+id_digest digest_of(std::string const& id)
+{
+    return id_digest{
+        static_cast<std::uint32_t>(XXH64(id.data(), id.size(), 0))};
+}
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/peer_report.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "src/base/ids.hpp"
+#include "src/base/serialization.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tanagerlead::routing
+{
+
+/// Short name of an id between daemons; equal ids have equal digests.
+enum class id_digest : std::uint32_t
+{
+};
+
+id_digest digest_of(std::string const& id);
+
+template <class Archive>
+void serialize_digest(Archive& archive, id_digest& digest)
+{
+    auto value = static_cast<std::uint32_t>(digest);
+    archive(value);
+    digest = id_digest{value};
+}
+
+/// Requests of one daemon at one target.
+struct target_usage
+{
+    id_digest target_{};
+    std::uint16_t in_flight_ = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        serialize_digest(archive, target_);
+        archive(in_flight_);
+    }
+};
+
+/// Requests of one tier that wait for a pool at one daemon.
+struct waiting_count
+{
+    id_digest pool_{};
+    std::uint8_t tier_ = 0;
+    std::uint16_t count_ = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        serialize_digest(archive, pool_);
+        archive(tier_, count_);
+    }
+};
+
+/// Units that a workspace spent at one daemon in its present life.
+struct spent_units
+{
+    id_digest workspace_{};
+    std::int64_t units_ = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        serialize_digest(archive, workspace_);
+        archive(units_);
+    }
+};
+
+/// A request that was in flight at the death of a target.
+struct crash_notice
+{
+    std::uint64_t fingerprint_ = 0;
+    id_digest target_{};
+    std::uint16_t age_ms_ = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(fingerprint_);
+        serialize_digest(archive, target_);
+        archive(age_ms_);
+    }
+};
+
+enum class daemon_state : std::uint8_t
+{
+    /// It does not know the configuration yet.
+    starting,
+    ready,
+    leaving,
+};
+
+/// What each daemon tells the others; whole each time, so that a lost one does
+/// no harm. Small enough for one datagram.
+struct peer_report
+{
+    static constexpr std::size_t most_targets = 100;
+    static constexpr std::size_t most_waiting = 24;
+    static constexpr std::size_t most_spent = 24;
+    static constexpr std::size_t most_crashes = 8;
+    static constexpr std::size_t most_addresses = 16;
+
+    /// Random for each life of the sender.
+    std::uint64_t life_ = 0;
+    std::uint32_t number_ = 0;
+    daemon_state state_ = daemon_state::starting;
+    id_digest data_centre_{};
+    std::uint64_t config_version_ = 0;
+    std::vector<target_usage> in_flight_;
+    std::vector<waiting_count> waiting_;
+    std::vector<spent_units> spent_;
+    std::vector<crash_notice> crashes_;
+    /// Other daemons that the sender knows, as IPv4 numbers.
+    std::vector<std::uint32_t> others_;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        auto state = static_cast<std::uint8_t>(state_);
+        archive(life_, number_, state);
+        state_ = daemon_state{state};
+        serialize_digest(archive, data_centre_);
+        archive(config_version_);
+        base::serialize_list(archive, in_flight_, most_targets);
+        base::serialize_list(archive, waiting_, most_waiting);
+        base::serialize_list(archive, spent_, most_spent);
+        base::serialize_list(archive, crashes_, most_crashes);
+        base::serialize_list(archive, others_, most_addresses);
+    }
+};
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/quota_ledger.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "src/base/ids.hpp"
+#include "src/base/units.hpp"
+#include "src/routing/route.hpp"
+
+#include <map>
+#include <vector>
+
+namespace tanagerlead::routing
+{
+
+/// Units that one workspace spent at one daemon in its present life.
+struct quota_usage
+{
+    base::workspace_id workspace_;
+    std::int64_t units_ = 0;
+};
+
+/// Fleet-wide quotas by token bucket. Each daemon keeps a bucket a workspace
+/// and takes out of it what it admits and what the others say they admitted.
+/// While some of the others are silent the buckets fill only at the heard part
+/// of the rate, so that groups that cannot hear each other stay within the
+/// quota together.
+class quota_ledger
+{
+public:
+    void configure(std::vector<workspace> const& workspaces,
+                   base::time_point now);
+    /// Part of the daemons that are heard, this one included; 0 to 1.
+    void set_heard_part(double part, base::time_point now);
+
+    /// Takes the units out; false when the workspace has too few.
+    bool admit(base::workspace_id const& id, double units,
+               base::time_point now);
+    /// Gives back what was admitted and did not run.
+    void refund(base::workspace_id const& id, double units);
+    /// Time until `units` are there.
+    base::duration wait_for(base::workspace_id const& id, double units,
+                            base::time_point now);
+
+    /// Another daemon spent this much more than it last said; less than zero
+    /// when it gave units back.
+    void on_peer_usage(base::workspace_id const& id, double units,
+                       base::time_point now);
+    /// Own totals of the workspaces that spent anything since `since`.
+    std::vector<quota_usage> own_usage(base::time_point since) const;
+
+private:
+    struct bucket
+    {
+        double rate_ = 0;
+        double burst_ = 0;
+        double level_ = 0;
+        double spent_ = 0;
+        base::time_point filled_{};
+        base::time_point last_spent_ = base::time_point::min();
+    };
+
+    void fill(bucket& b, base::time_point now) const;
+
+    std::map<base::workspace_id, bucket> buckets_;
+    double heard_ = 1.0;
+};
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/target_pace.cpp
@@ -0,0 +1,35 @@
+#include "src/routing/target_pace.hpp"
+
+#include <algorithm>
+
+namespace tanagerlead::routing
+{
+
+namespace
+{
+
+/// Units that the mean remembers: a target that turns slow is seen after a few
+/// answers.
+constexpr double most_weight = 40;
+/// Part of the newest answer in the failure rate.
+constexpr double failure_gain = 0.15;
+
+} // namespace
+
+void target_pace::observe(double seconds, double units)
+{
+    if (units <= 0)
+    {
+        return;
+    }
+    weight_ = std::min(weight_ + units, most_weight);
+    auto const part = std::min(1.0, units / weight_);
+    mean_ += part * (seconds / units - mean_);
+}
+
+void failure_rate::add(bool failed)
+{
+    value_ += failure_gain * ((failed ? 1.0 : 0.0) - value_);
+}
+
+} // namespace tanagerlead::routing
--- a/src/sched/target_health.cpp
+++ b/src/sched/target_health.cpp
@@ -5,13 +5,9 @@
 namespace tanagerlead::sched
 {
 
-using namespace std::chrono_literals;
-
 namespace
 {
 
-constexpr base::duration first_pause = 500ms;
-constexpr base::duration longest_pause = 16s;
 constexpr int most_doublings = 5;
 /// Errors of its own, without an answer between, that count as a failure.
 constexpr int errors_for_failure = 5;
@@ -27,7 +23,8 @@
         return;
     }
     auto const doublings = std::min(failures_, most_doublings);
-    pause_end_ = now + std::min(first_pause * (1 << doublings), longest_pause);
+    pause_end_ = now + std::min(settings_.first_pause_ * (1 << doublings),
+                                settings_.longest_pause_);
     ++failures_;
 }
 
--- a/src/sched/target_health.hpp
+++ b/src/sched/target_health.hpp
@@ -10,6 +10,15 @@
 class target_health
 {
 public:
+    struct settings
+    {
+        base::duration first_pause_ = std::chrono::milliseconds{500};
+        base::duration longest_pause_ = std::chrono::seconds{16};
+    };
+
+    target_health() = default;
+    explicit target_health(settings const& s) : settings_{s} {}
+
     /// The target died or could not be connected to, by a request dispatched
     /// at `dispatched`.
     void on_lost(base::time_point dispatched, base::time_point now);
@@ -27,6 +36,7 @@
     bool healthy() const { return failures_ == 0; }
 
 private:
+    settings settings_{};
     int failures_ = 0;
     int errors_in_row_ = 0;
     base::time_point pause_end_{};
--- a/tests/cell/scheduling_service_test.cpp
+++ b/tests/cell/scheduling_service_test.cpp
@@ -175,12 +175,12 @@
 {
     auto settings = some_settings();
     settings.read_hosts_ =
-        []() -> base::result<std::vector<platform::listed_host>>
+        []() -> base::result<std::vector<external::listed_host>>
     {
-        platform::listed_host host;
+        external::listed_host host;
         host.address_ = {"127.0.0.1", 9000};
-        host.state_ = platform::host_state::leaving;
-        return std::vector<platform::listed_host>{host};
+        host.state_ = external::host_state::leaving;
+        return std::vector<external::listed_host>{host};
     };
     // A target that hangs does not keep the list from being read.
     std::promise<void> let_go;
--- a/tests/config/config_service_test.cpp
+++ b/tests/config/config_service_test.cpp
@@ -1,7 +1,7 @@
 #include "src/config/config_service.hpp"
 #include "src/config/peer_copy.hpp"
 #include "src/kernel/kernel.hpp"
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 #include "tests/config/sample.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 
@@ -61,9 +61,9 @@
     }
 
 private:
-    static platform::etcd_settings settings(base::address const& key_value)
+    static external::etcd_settings settings(base::address const& key_value)
     {
-        platform::etcd_settings out;
+        external::etcd_settings out;
         out.endpoints_ = {key_value};
         out.timeouts_.read_ = 300ms;
         out.first_backoff_ = 5ms;
@@ -71,7 +71,7 @@
     }
 
     base::steady_clock clock_;
-    platform::etcd_store store_;
+    external::etcd_store store_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<config_version> seen_;
--- a/tests/config/config_store_test.cpp
+++ b/tests/config/config_store_test.cpp
@@ -1,5 +1,5 @@
 #include "src/config/config_store.hpp"
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 #include "tests/config/sample.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 #include "tests/fakes/hooked_store.hpp"
@@ -35,17 +35,17 @@
 {
     base::manual_clock clock_;
     fakes::fake_key_value fake_{{"127.0.0.1", 0}, clock_};
-    std::unique_ptr<platform::etcd_store> etcd_;
+    std::unique_ptr<external::etcd_store> etcd_;
     std::unique_ptr<fakes::hooked_store> hooked_;
     std::unique_ptr<config::config_store> store_;
 
     void setup() override
     {
         CHECK(fake_.start().has_value());
-        platform::etcd_settings settings;
+        external::etcd_settings settings;
         settings.endpoints_ = {fake_.local_address()};
         settings.timeouts_.read_ = 300ms;
-        etcd_ = std::make_unique<platform::etcd_store>(settings);
+        etcd_ = std::make_unique<external::etcd_store>(settings);
         hooked_ =
             std::make_unique<fakes::hooked_store>(*etcd_, config::head_key);
         store_ = std::make_unique<config::config_store>(*hooked_);
--- a/tests/platform/etcd_store_test.cpp
+++ b/tests/external/etcd_store_test.cpp
@@ -1,5 +1,5 @@
-#include "src/platform/base64.hpp"
-#include "src/platform/etcd_store.hpp"
+#include "src/base/base64.hpp"
+#include "src/external/etcd_store.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -10,7 +10,7 @@
 using namespace tanagerlead;
 using namespace std::chrono_literals;
 using base::error_code;
-using platform::commit_outcome;
+using external::commit_outcome;
 
 TEST_GROUP(base64){};
 
@@ -20,12 +20,12 @@
     for (int length = 0; length < 9; ++length)
     {
         auto const decoded =
-            platform::base64_decode(platform::base64_encode(bytes));
+            base::base64_decode(base::base64_encode(bytes));
         CHECK(decoded == bytes);
         bytes += static_cast<char>(length * 37);
     }
-    CHECK_FALSE(platform::base64_decode("a").has_value());
-    CHECK_FALSE(platform::base64_decode("a*==").has_value());
+    CHECK_FALSE(base::base64_decode("a").has_value());
+    CHECK_FALSE(base::base64_decode("a*==").has_value());
 }
 
 TEST_GROUP(etcd_store)
@@ -42,9 +42,9 @@
         fake_.stop();
     }
 
-    platform::etcd_settings settings() const
+    external::etcd_settings settings() const
     {
-        platform::etcd_settings out;
+        external::etcd_settings out;
         out.endpoints_ = {fake_.local_address()};
         out.timeouts_.read_ = 300ms;
         out.first_backoff_ = 1ms;
@@ -54,7 +54,7 @@
 
 TEST(etcd_store, commit_writes_all_or_none)
 {
-    platform::etcd_store store{settings()};
+    external::etcd_store store{settings()};
     auto const absent = store.get("a");
     CHECK(absent.has_value());
     CHECK_EQUAL(0, absent.value().revision_);
@@ -74,8 +74,8 @@
 
 TEST(etcd_store, list_keeps_to_the_prefix)
 {
-    platform::etcd_store store{settings()};
-    std::vector<platform::key_value_write> const writes{
+    external::etcd_store store{settings()};
+    std::vector<external::key_value_write> const writes{
         {"p/1", "", {}}, {"p/2", "", {}}, {"p0", "", {}}, {"o", "", {}}};
     CHECK(store.commit(writes).has_value());
     CHECK_EQUAL(2, store.list("p/").value().size());
@@ -122,7 +122,7 @@
 {
     for (auto const& fault : fault_cases)
     {
-        platform::etcd_store store{settings()};
+        external::etcd_store store{settings()};
         fake_.set_faults(fault.faults_);
         auto const read = store.get("a");
         auto const written = store.commit({{"a", "1", std::nullopt}});
@@ -136,7 +136,7 @@
 
 TEST(etcd_store, lost_answer_is_unknown_and_applied)
 {
-    platform::etcd_store store{settings()};
+    external::etcd_store store{settings()};
     fake_.set_faults({.lose_answers_ = 1});
     auto const written = store.commit({{"a", "1", 0}});
     CHECK(!written && written.error().code_ == error_code::unknown_effect);
@@ -151,7 +151,7 @@
     CHECK(limited.start().has_value());
     auto to_limited = settings();
     to_limited.endpoints_ = {limited.local_address()};
-    platform::etcd_store store{to_limited};
+    external::etcd_store store{to_limited};
     limited.set_faults({.writes_per_second_ = 1});
     auto const written = store.commit({{"a", "1", 0}});
     CHECK(!written && written.error().code_ == error_code::rate_limited);
@@ -166,7 +166,7 @@
     CHECK(other.start().has_value());
     auto both = settings();
     both.endpoints_.push_back(other.local_address());
-    platform::etcd_store store{both};
+    external::etcd_store store{both};
     fake_.set_faults({.outage_ = fakes::outage::refuse});
     CHECK(store.commit({{"a", "1", 0}}).value() == commit_outcome::committed);
     CHECK_EQUAL(1, other.log().writes_);
@@ -174,7 +174,7 @@
 
 TEST(etcd_store, no_endpoint_is_an_error)
 {
-    platform::etcd_store store{{}};
+    external::etcd_store store{{}};
     CHECK(store.get("a").error().code_ == error_code::not_sent);
     CHECK(store.watch("a", [](auto const&) {}) == nullptr);
 }
@@ -186,7 +186,7 @@
 class watch_journal
 {
 public:
-    void add(platform::key_value_entry const& entry)
+    void add(external::key_value_entry const& entry)
     {
         std::lock_guard const lock{mutex_};
         seen_.push_back(entry);
@@ -212,14 +212,14 @@
 private:
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::vector<platform::key_value_entry> seen_;
+    std::vector<external::key_value_entry> seen_;
 };
 
 } // namespace
 
 TEST(etcd_store, watch_tells_later_values_and_reconnects)
 {
-    platform::etcd_store store{settings()};
+    external::etcd_store store{settings()};
     watch_journal journal;
     CHECK(store.commit({{"a", "1", 0}}).has_value());
     auto const watch =
@@ -238,7 +238,7 @@
 
 TEST(etcd_store, watch_ends_while_the_service_hangs)
 {
-    platform::etcd_store store{settings()};
+    external::etcd_store store{settings()};
     fake_.set_faults({.outage_ = fakes::outage::hang});
     auto watch = store.watch("a", [](auto const&) {});
     watch.reset();
--- a/tests/platform/host_list_test.cpp
+++ b/tests/external/host_list_test.cpp
@@ -1,4 +1,4 @@
-#include "src/platform/http_host_list.hpp"
+#include "src/external/http_host_list.hpp"
 #include "tests/fakes/fake_host_list.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -6,12 +6,12 @@
 using namespace tanagerlead;
 using namespace std::chrono_literals;
 using base::error_code;
-using platform::host_state;
+using external::host_state;
 
 namespace
 {
 
-platform::listed_host make_host(char const* name, host_state state)
+external::listed_host make_host(char const* name, host_state state)
 {
     return {base::host_id{name},
             base::data_centre_id{"brest"},
@@ -35,7 +35,7 @@
         fake_.stop();
     }
 
-    platform::http_host_list list() const
+    external::http_host_list list() const
     {
         return {{fake_.local_address()}, {500ms, 500ms}};
     }
--- a/tests/fakes/config_daemon.hpp
+++ b/tests/fakes/config_daemon.hpp
@@ -6,7 +6,7 @@
 #include "src/http/server.hpp"
 #include "src/http/status_api.hpp"
 #include "src/kernel/kernel.hpp"
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 
 #include <future>
@@ -32,10 +32,10 @@
         {
             return false;
         }
-        platform::etcd_settings settings;
+        external::etcd_settings settings;
         settings.endpoints_ = {fake_.local_address()};
         settings.timeouts_.read_ = std::chrono::milliseconds{300};
-        store_ = std::make_unique<platform::etcd_store>(settings);
+        store_ = std::make_unique<external::etcd_store>(settings);
         constexpr std::uint64_t seed = 1;
         auto service = std::make_unique<config::config_service>(
             base::daemon_id{"d1"}, *store_, seed);
@@ -96,7 +96,7 @@
 private:
     base::steady_clock clock_;
     fake_key_value fake_{{"127.0.0.1", 0}, clock_};
-    std::unique_ptr<platform::etcd_store> store_;
+    std::unique_ptr<external::etcd_store> store_;
     kernel::kernel services_;
     config::config_service* service_ = nullptr;
     std::unique_ptr<http::config_api> api_;
--- a/tests/fakes/fake_host_list.cpp
+++ b/tests/fakes/fake_host_list.cpp
@@ -15,9 +15,9 @@
 constexpr int status_bad_request = 400;
 constexpr int status_unavailable = 503;
 
-json encode(platform::listed_host const& host)
+json encode(external::listed_host const& host)
 {
-    auto const live = host.state_ == platform::host_state::live;
+    auto const live = host.state_ == external::host_state::live;
     return {{"targets", {host.address_.str()}},
             {"labels",
              {{"host", host.host_.str()},
@@ -25,19 +25,19 @@
               {"state", live ? "live" : "leaving"}}}};
 }
 
-std::vector<platform::listed_host> decode(json const& groups)
+std::vector<external::listed_host> decode(json const& groups)
 {
-    std::vector<platform::listed_host> hosts;
+    std::vector<external::listed_host> hosts;
     for (auto const& group : groups)
     {
         auto const& labels = group.at("labels");
-        platform::listed_host host;
+        external::listed_host host;
         host.host_ = base::host_id{labels.at("host").get<std::string>()};
         host.data_centre_ =
             base::data_centre_id{labels.at("data_centre").get<std::string>()};
         host.state_ = labels.at("state") == "leaving"
-                          ? platform::host_state::leaving
-                          : platform::host_state::live;
+                          ? external::host_state::leaving
+                          : external::host_state::live;
         for (auto const& target : group.at("targets"))
         {
             host.address_ =
@@ -71,7 +71,7 @@
     return server_.local_address();
 }
 
-void fake_host_list::set_hosts(std::vector<platform::listed_host> hosts)
+void fake_host_list::set_hosts(std::vector<external::listed_host> hosts)
 {
     std::lock_guard const lock{mutex_};
     listings_.push_back({clock_.now() + faults_.lag_, std::move(hosts)});
@@ -83,9 +83,9 @@
     faults_ = faults;
 }
 
-std::vector<platform::listed_host> fake_host_list::visible()
+std::vector<external::listed_host> fake_host_list::visible()
 {
-    std::vector<platform::listed_host> hosts;
+    std::vector<external::listed_host> hosts;
     for (auto const& each : listings_)
     {
         if (each.shows_from_ <= clock_.now())
--- a/tests/fakes/fake_host_list.hpp
+++ b/tests/fakes/fake_host_list.hpp
@@ -3,7 +3,7 @@
 #include "src/base/address.hpp"
 #include "src/base/clock.hpp"
 #include "src/http/server.hpp"
-#include "src/platform/host_list.hpp"
+#include "src/external/host_list.hpp"
 
 #include <memory>
 #include <mutex>
@@ -33,17 +33,17 @@
     void stop();
     base::address local_address() const;
 
-    void set_hosts(std::vector<platform::listed_host> hosts);
+    void set_hosts(std::vector<external::listed_host> hosts);
     void set_faults(host_list_faults const& faults);
 
 private:
     struct listing
     {
         base::time_point shows_from_;
-        std::vector<platform::listed_host> hosts_;
+        std::vector<external::listed_host> hosts_;
     };
 
-    std::vector<platform::listed_host> visible();
+    std::vector<external::listed_host> visible();
     void add_routes();
 
     base::clock const& clock_;
--- a/tests/fakes/fake_key_value.cpp
+++ b/tests/fakes/fake_key_value.cpp
@@ -1,6 +1,6 @@
 #include "tests/fakes/fake_key_value.hpp"
 
-#include "src/platform/base64.hpp"
+#include "src/base/base64.hpp"
 
 #include <arpa/inet.h>
 #include <httplib.h>
@@ -33,7 +33,7 @@
 
 std::string decode_bytes(json const& object, char const* name)
 {
-    auto bytes = platform::base64_decode(object.value(name, std::string{}));
+    auto bytes = base::base64_decode(object.value(name, std::string{}));
     if (!bytes)
     {
         throw std::invalid_argument{name};
@@ -98,8 +98,8 @@
 
 json encode_entry(std::string const& key, stored_value const& entry)
 {
-    return {{"key", platform::base64_encode(key)},
-            {"value", platform::base64_encode(entry.value_)},
+    return {{"key", base::base64_encode(key)},
+            {"value", base::base64_encode(entry.value_)},
             {"create_revision", std::to_string(entry.create_revision_)},
             {"mod_revision", std::to_string(entry.mod_revision_)},
             {"version", std::to_string(entry.version_)},
@@ -114,7 +114,7 @@
     }
     return {{"type", "DELETE"},
             {"kv",
-             {{"key", platform::base64_encode(what.key_)},
+             {{"key", base::base64_encode(what.key_)},
               {"mod_revision", std::to_string(what.revision_)}}}};
 }
 
--- a/tests/request/kv_claim_store_test.cpp
+++ b/tests/request/kv_claim_store_test.cpp
@@ -1,4 +1,4 @@
-#include "src/platform/etcd_store.hpp"
+#include "src/external/etcd_store.hpp"
 #include "src/request/kv_claim_store.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 #include "tests/fakes/hooked_store.hpp"
@@ -28,17 +28,17 @@
 {
     base::manual_clock clock_;
     fakes::fake_key_value fake_{{"127.0.0.1", 0}, clock_};
-    std::unique_ptr<platform::etcd_store> etcd_;
+    std::unique_ptr<external::etcd_store> etcd_;
     std::unique_ptr<fakes::hooked_store> hooked_;
     std::chrono::milliseconds wall_{1000};
 
     void setup() override
     {
         CHECK(fake_.start().has_value());
-        platform::etcd_settings settings;
+        external::etcd_settings settings;
         settings.endpoints_ = {fake_.local_address()};
         settings.timeouts_.read_ = 300ms;
-        etcd_ = std::make_unique<platform::etcd_store>(settings);
+        etcd_ = std::make_unique<external::etcd_store>(settings);
         hooked_ = std::make_unique<fakes::hooked_store>(*etcd_, "open");
     }
 
@@ -48,7 +48,7 @@
     }
 
     std::unique_ptr<request::kv_claim_store> make_daemon(
-        platform::key_value_store & store)
+        external::key_value_store & store)
     {
         return std::make_unique<request::kv_claim_store>(
             store, clock_, [this] { return wall_; },
--- /dev/null
+++ b/tools/entry/tanagerlead_entryd.cpp
@@ -0,0 +1,70 @@
+#include "platform/store_client.hpp"
+#include "platform/wire_protocol.hpp"
+#include "src/base/log.hpp"
+#include "src/entry/entry_daemon.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+ABSL_FLAG(std::string, settings, "", "settings file (JSON)");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+
+namespace
+{
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+std::string read_file(std::string const& path)
+{
+    std::ifstream file{path};
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+/// The daemon for routed requests on the users' platform.
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "tanagerlead_entryd --settings=FILE [--check]\n"
+        "Routes requests to targets that register themselves. SIGTERM is a "
+        "planned stop, SIGHUP reads the settings again.\nExit codes: 0 stopped "
+        "as planned or settings right, 1 failed, 2 wrong use or settings.");
+    absl::ParseCommandLine(argc, argv);
+    auto const path = absl::GetFlag(FLAGS_settings);
+    auto const settings = tanagerlead::entry::read_settings(read_file(path));
+    if (!settings)
+    {
+        std::fprintf(stderr, "tanagerlead_entryd: settings '%s': %s\n",
+                     path.c_str(), settings.error().str().c_str());
+        return exit_usage;
+    }
+    if (absl::GetFlag(FLAGS_check))
+    {
+        std::printf("settings are right\n");
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    tanagerlead::base::start_logging(
+        {tanagerlead::base::log_level::info,
+         tanagerlead::base::log_layout::text,
+         tanagerlead::base::log_output::standard_output});
+    tanagerlead::platform::wire_protocol const speech;
+    tanagerlead::entry::entry_daemon daemon{
+        settings.value(), path, speech,
+        [](auto& loop, auto const& store)
+        {
+            return std::make_unique<tanagerlead::platform::store_client>(loop,
+                                                                         store);
+        }};
+    return daemon.run() ? 0 : exit_failed;
+}
--- a/tools/load/engine_logs.cpp
+++ b/tools/load/engine_logs.cpp
@@ -1,6 +1,6 @@
 #include "tools/load/engine_logs.hpp"
 
-#include "src/platform/http_client.hpp"
+#include "src/external/http_client.hpp"
 #include "tests/fakes/answer_text.hpp"
 
 #include <nlohmann/json.hpp>
@@ -13,12 +13,12 @@
 namespace
 {
 
-constexpr platform::http_timeouts log_timeouts{std::chrono::seconds{1},
+constexpr external::http_timeouts log_timeouts{std::chrono::seconds{1},
                                                std::chrono::seconds{10}};
 
 bool add_log(base::address const& control, engine_logs& logs)
 {
-    auto const got = platform::get(control, "/fake/log", log_timeouts);
+    auto const got = external::get(control, "/fake/log", log_timeouts);
     if (!got)
     {
         return false;
