--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -258,9 +258,7 @@
     about.route_ = found.route_;
     about.workspace_ = found.workspace_;
     about.pool_ = choose_pool(*found.route_);
-    about.tier_ = found.workspace_ != nullptr
-                      ? found.workspace_->tier_.value_or(found.route_->tier_)
-                      : found.route_->tier_;
+    about.tier_ = found.tier_;
     about.fingerprint_ = fingerprint_of(
         about.request_, found.workspace_ != nullptr ? found.workspace_->id_
                                                     : base::workspace_id{});
--- a/src/routing/configuration.cpp
+++ b/src/routing/configuration.cpp
@@ -7,6 +7,24 @@
 namespace tanagerlead::routing
 {
 
+namespace
+{
+
+std::vector<int> distinct(std::vector<int> ranks)
+{
+    std::sort(ranks.begin(), ranks.end());
+    ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
+    return ranks;
+}
+
+std::size_t place_of(std::vector<int> const& ranks, int rank)
+{
+    return static_cast<std::size_t>(
+        std::lower_bound(ranks.begin(), ranks.end(), rank) - ranks.begin());
+}
+
+} // namespace
+
 configuration::configuration(base::config_version version,
                              std::vector<route> routes,
                              std::vector<workspace> workspaces,
@@ -22,8 +40,18 @@
                                 std::tuple(std::string_view{b.host_},
                                            a.prefix_.size());
                      });
+    std::vector<int> route_ranks;
+    for (auto const& r : routes_)
+    {
+        route_ranks.push_back(r.rank_);
+    }
+    std::vector<int> workspace_ranks;
     for (std::size_t i = 0; i < workspaces_.size(); ++i)
     {
+        if (workspaces_[i].rank_)
+        {
+            workspace_ranks.push_back(*workspaces_[i].rank_);
+        }
         for (auto const& key : workspaces_[i].keys_)
         {
             keys_.push_back({key, i});
@@ -32,6 +60,19 @@
     std::sort(keys_.begin(), keys_.end(),
               [](key_entry const& a, key_entry const& b)
               { return a.key_ < b.key_; });
+    route_ranks_ = distinct(std::move(route_ranks));
+    workspace_ranks_ = distinct(std::move(workspace_ranks));
+}
+
+// The workspace's rank first, then the route's. Ranks are counted by those in
+// use, and what lies beyond the last tier shares it.
+base::tier configuration::tier_of(route const& r, workspace const* w) const
+{
+    auto const rank = w != nullptr ? w->rank_.value_or(r.rank_) : r.rank_;
+    auto const place = place_of(workspace_ranks_, rank) * route_ranks_.size() +
+                       place_of(route_ranks_, r.rank_);
+    return base::tier{
+        static_cast<std::uint8_t>(std::min(place, base::max_tiers - 1))};
 }
 
 route const* configuration::find_route(std::string_view host,
@@ -74,6 +115,7 @@
     assert(!out.route_->pools_.empty());
     out.workspace_ = key.empty() ? nullptr : find_workspace(key);
     auto const open = out.route_->allows_anonymous_ || workspaces_.empty();
+    out.tier_ = tier_of(*out.route_, out.workspace_);
     out.verdict_ = out.workspace_ == nullptr && !open ? lookup_verdict::no_key
                                                       : lookup_verdict::found;
     return out;
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -23,6 +23,7 @@
     route const* route_ = nullptr;
     /// Null for an anonymous caller.
     workspace const* workspace_ = nullptr;
+    base::tier tier_{};
 };
 
 /// One version of the routes and workspaces. Immutable once published.
@@ -51,6 +52,7 @@
 
     route const* find_route(std::string_view host, std::string_view path) const;
     workspace const* find_workspace(std::string_view key) const;
+    base::tier tier_of(route const& r, workspace const* w) const;
 
     base::config_version version_;
     /// By host, then longest prefix first.
@@ -58,6 +60,9 @@
     std::vector<workspace> workspaces_;
     /// Sorted by key.
     std::vector<key_entry> keys_;
+    /// Ranks in use, ascending.
+    std::vector<int> route_ranks_;
+    std::vector<int> workspace_ranks_;
     caller_limits limits_;
 };
 
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -45,7 +45,8 @@
     base::duration objective_{};
     /// Longest pause between events that counts as on time; zero: none.
     base::duration gap_objective_{};
-    base::tier tier_{};
+    /// 0 goes first.
+    int rank_ = 0;
     /// Targets one request may be sent to.
     int most_attempts_ = 1;
     bool allows_anonymous_ = false;
@@ -64,8 +65,9 @@
 {
     base::workspace_id id_;
     std::vector<std::string> keys_;
-    /// Goes before the route's tier.
-    std::optional<base::tier> tier_;
+    /// Goes before the route's rank, which orders the requests of workspaces
+    /// of one rank.
+    std::optional<int> rank_;
     /// Units a second over the whole fleet; zero: no limit.
     double rate_ = 0;
     /// Units that may be spent at once.
