Spend a workspace's quota on its highest ranks first

The operators' slack was not used at all. Ruled out: silent daemons (all were heard, by the new log line). Conclusion: half of the slack is a burst, the last part of a bucket is kept for higher ranks, returns are booked one after the other.

--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -78,6 +78,7 @@
         routing::workspace const* workspace_ = nullptr;
         base::pool_id pool_;
         base::tier tier_{};
+        double deference_ = 0;
         std::uint64_t fingerprint_ = 0;
         /// Units taken from the workspace's quota.
         double quota_units_ = 0;
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -148,6 +148,7 @@
     s.retry_slack_ = r.number("retry_slack", 0, 1e9);
     s.retry_window_ =
         base::from_seconds(r.number("retry_window_seconds", 1, most_seconds));
+    s.quota_slack_ = r.number("quota_slack", 0, 1e12);
     if (!r.problem().empty())
     {
         return fail(r.problem());
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -36,6 +36,8 @@
     double retry_ratio_ = 0.2;
     double retry_slack_ = 50;
     base::duration retry_window_ = std::chrono::seconds{10};
+    /// Units by which all daemons together may exceed a quota.
+    double quota_slack_ = 0;
 };
 
 /// Errors name the field.
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -13,7 +13,7 @@
 constexpr base::duration retry_pause = 250ms;
 /// A watch that waits for no longer than this also finds a connection that
 /// fell silent.
-constexpr base::duration longest_watch = 2500ms;
+constexpr base::duration longest_watch = 5s;
 
 } // namespace
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -83,7 +83,7 @@
       peers_{loop, s, life_, *this},
       dispatcher_{{s.data_centre_, random_()}, peers_.board()},
       budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
-      channels_{loop},
+      quotas_{s.quota_slack_}, channels_{loop},
       callers_{loop,
                static_cast<std::size_t>(
                    caller_descriptors *
@@ -259,6 +259,7 @@
     about.workspace_ = found.workspace_;
     about.pool_ = choose_pool(*found.route_);
     about.tier_ = found.tier_;
+    about.deference_ = found.deference_;
     about.fingerprint_ = fingerprint_of(
         about.request_, found.workspace_ != nullptr ? found.workspace_->id_
                                                     : base::workspace_id{});
@@ -293,9 +294,21 @@
                                   about.marks_.most_output_tokens_)
                             : w.plain_tokens_;
     auto const units = w.counts_tokens_ ? tokens : 1.0;
-    if (!quotas_.admit(w.id_, units, now))
-    {
-        turn_away(from, 429, "quota", id, quotas_.wait_for(w.id_, units, now));
+    routing::quota_ledger::demand const demand{units, about.deference_};
+    if (!quotas_.admit(w.id_, demand, now))
+    {
+        auto const view = quotas_.look(w.id_);
+        log_.write(line_kind::attempt,
+                   log_line{"Over quota."}
+                       .with("request", id)
+                       .with("workspace", w.id_.str())
+                       .with("units", static_cast<std::int64_t>(units))
+                       .with("level", static_cast<std::int64_t>(view.level_))
+                       .with("rate", static_cast<std::int64_t>(view.rate_))
+                       .with("heard_percent",
+                             static_cast<std::int64_t>(100 * view.heard_)),
+                   now);
+        turn_away(from, 429, "quota", id, quotas_.book_return(w.id_, demand, now));
         return false;
     }
     about.quota_units_ = units;
--- a/src/routing/configuration.cpp
+++ b/src/routing/configuration.cpp
@@ -116,6 +116,12 @@
     out.workspace_ = key.empty() ? nullptr : find_workspace(key);
     auto const open = out.route_->allows_anonymous_ || workspaces_.empty();
     out.tier_ = tier_of(*out.route_, out.workspace_);
+    if (route_ranks_.size() > 1)
+    {
+        out.deference_ =
+            static_cast<double>(place_of(route_ranks_, out.route_->rank_)) /
+            static_cast<double>(route_ranks_.size() - 1);
+    }
     out.verdict_ = out.workspace_ == nullptr && !open ? lookup_verdict::no_key
                                                       : lookup_verdict::found;
     return out;
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -24,6 +24,8 @@
     /// Null for an anonymous caller.
     workspace const* workspace_ = nullptr;
     base::tier tier_{};
+    /// Place of the route's rank among those in use: 0 first, 1 last.
+    double deference_ = 0;
 };
 
 /// One version of the routes and workspaces. Immutable once published.
--- a/src/routing/quota_ledger.cpp
+++ b/src/routing/quota_ledger.cpp
@@ -11,9 +11,23 @@
 /// A new daemon does not know what the others spent just before it started,
 /// so its buckets begin with this much of a second's rate.
 constexpr double start_seconds = 0.25;
+/// Part of the slack that callers get; the rest covers reports on their way.
+constexpr double used_slack = 0.5;
+/// Kept for higher ranks: this part of the bucket, and no more than this many
+/// requests of the same size.
+constexpr double reserved_part = 0.3;
+constexpr double reserved_requests = 8;
 
 } // namespace
 
+// One request may be larger than the bucket; it needs a full one.
+double quota_ledger::needed(bucket const& b, demand const& d)
+{
+    auto const reserve = d.deference_ * std::min(reserved_part * b.burst_,
+                                                 reserved_requests * d.units_);
+    return std::min(d.units_ + reserve, b.burst_);
+}
+
 void quota_ledger::configure(std::vector<workspace> const& workspaces,
                              base::time_point now)
 {
@@ -36,7 +50,7 @@
             b.level_ = std::min(w.burst_, start_seconds * w.rate_);
         }
         b.rate_ = w.rate_;
-        b.burst_ = std::max(w.burst_, w.rate_);
+        b.burst_ = std::max(w.burst_, w.rate_) + used_slack * slack_;
         b.level_ = std::min(b.level_, b.burst_);
         b.filled_ = now;
         next.emplace(w.id_, b);
@@ -48,6 +62,7 @@
 {
     auto const passed = std::max(0.0, base::seconds(now - b.filled_));
     b.level_ = std::min(b.burst_, b.level_ + passed * b.rate_ * heard_);
+    b.booked_ = std::max(0.0, b.booked_ - passed * b.rate_ * heard_);
     b.filled_ = now;
 }
 
@@ -64,7 +79,7 @@
     heard_ = std::clamp(part, 0.0, 1.0);
 }
 
-bool quota_ledger::admit(base::workspace_id const& id, double units,
+bool quota_ledger::admit(base::workspace_id const& id, demand const& d,
                          base::time_point now)
 {
     auto const found = buckets_.find(id);
@@ -74,13 +89,12 @@
     }
     auto& b = found->second;
     fill(b, now);
-    // One request may be larger than the burst; it needs a full bucket.
-    if (b.level_ < std::min(units, b.burst_))
+    if (b.level_ < needed(b, d))
     {
         return false;
     }
-    b.level_ -= units;
-    b.spent_ += units;
+    b.level_ -= d.units_;
+    b.spent_ += d.units_;
     b.last_spent_ = now;
     return true;
 }
@@ -96,8 +110,8 @@
     }
 }
 
-base::duration quota_ledger::wait_for(base::workspace_id const& id,
-                                      double units, base::time_point now)
+base::duration quota_ledger::book_return(base::workspace_id const& id,
+                                         demand const& d, base::time_point now)
 {
     auto const found = buckets_.find(id);
     if (found == buckets_.end())
@@ -106,9 +120,18 @@
     }
     auto& b = found->second;
     fill(b, now);
-    auto const lacking = std::min(units, b.burst_) - b.level_;
-    return lacking <= 0 ? base::duration{}
-                        : base::from_seconds(lacking / b.rate_);
+    auto const lacking = std::max(0.0, needed(b, d) - b.level_);
+    auto const wait = base::from_seconds((lacking + b.booked_) / b.rate_);
+    b.booked_ += d.units_;
+    return wait;
+}
+
+quota_ledger::view quota_ledger::look(base::workspace_id const& id) const
+{
+    auto const found = buckets_.find(id);
+    return found == buckets_.end()
+               ? view{0, 0, heard_}
+               : view{found->second.rate_, found->second.level_, heard_};
 }
 
 void quota_ledger::on_peer_usage(base::workspace_id const& id, double units,
--- a/src/routing/quota_ledger.hpp
+++ b/src/routing/quota_ledger.hpp
@@ -17,7 +17,8 @@
     std::int64_t units_ = 0;
 };
 
-/// Fleet-wide quotas by token bucket. Each daemon keeps a bucket a workspace
+/// Fleet-wide quotas by token bucket. Load it answers: a workspace that asks
+/// for more than its quota gets its quota, spent on its highest ranks first. Each daemon keeps a bucket a workspace
 /// and takes out of it what it admits and what the others say they admitted.
 /// While some of the others are silent the buckets fill only at the heard part
 /// of the rate, so that groups that cannot hear each other stay within the
@@ -25,19 +26,42 @@
 class quota_ledger
 {
 public:
+    /// `slack` units may be spent beyond rate and burst: what the operators
+    /// grant for the time that daemons take to hear of each other.
+    explicit quota_ledger(double slack) : slack_{slack} {}
+
     void configure(std::vector<workspace> const& workspaces,
                    base::time_point now);
     /// Part of the daemons that are heard, this one included; 0 to 1.
     void set_heard_part(double part, base::time_point now);
 
-    /// Takes the units out; false when the workspace has too few.
-    bool admit(base::workspace_id const& id, double units,
+    /// Units of one request, and how soon others of its workspace go before
+    /// it: 0 for the first rank, 1 for the last.
+    struct demand
+    {
+        double units_ = 0;
+        double deference_ = 0;
+    };
+
+    /// Takes the units out; false when the workspace has too few. The last of
+    /// them are kept for requests of higher ranks.
+    bool admit(base::workspace_id const& id, demand const& d,
                base::time_point now);
     /// Gives back what was admitted and did not run.
     void refund(base::workspace_id const& id, double units);
-    /// Time until `units` are there.
-    base::duration wait_for(base::workspace_id const& id, double units,
-                            base::time_point now);
+    /// When a refused request may come back. Later for each one refused before
+    /// it, so that not all come at once.
+    base::duration book_return(base::workspace_id const& id, demand const& d,
+                               base::time_point now);
+
+    /// What an operator wants to know of a refusal.
+    struct view
+    {
+        double rate_ = 0;
+        double level_ = 0;
+        double heard_ = 1;
+    };
+    view look(base::workspace_id const& id) const;
 
     /// Another daemon spent this much more than it last said; less than zero
     /// when it gave units back.
@@ -53,13 +77,17 @@
         double burst_ = 0;
         double level_ = 0;
         double spent_ = 0;
+        /// Units of refused requests that are to come back.
+        double booked_ = 0;
         base::time_point filled_{};
         base::time_point last_spent_ = base::time_point::min();
     };
 
     void fill(bucket& b, base::time_point now) const;
+    static double needed(bucket const& b, demand const& d);
 
     std::map<base::workspace_id, bucket> buckets_;
+    double slack_;
     double heard_ = 1.0;
 };
 
