On time before late within a tier; smaller reports; displaced targets

Cause: under overload every summary and label note waited about its whole objective and was late; half of tsc's largest price was reports between daemons; 332 tries met status 421 at addresses of crashed targets. Ruled out: rejections by full targets (none).

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -30,6 +30,24 @@
 /// Larger whole answers are refused.
 constexpr std::size_t most_answer_bytes = 16 << 20;
 
+call_end end_for(attempt_failure failure)
+{
+    switch (failure)
+    {
+    case attempt_failure::not_connected:
+        return call_end::not_connected;
+    case attempt_failure::rejected:
+        return call_end::rejected;
+    case attempt_failure::wrong_target:
+        return call_end::displaced;
+    case attempt_failure::target_error:
+    case attempt_failure::broken:
+    case attempt_failure::silent:
+        break;
+    }
+    return call_end::failed;
+}
+
 std::string seconds_text(base::duration d)
 {
     auto const ms =
@@ -429,12 +447,7 @@
 
 void call::fail(attempt_failure failure, std::string const& detail)
 {
-    auto const end = failure == attempt_failure::not_connected
-                         ? call_end::not_connected
-                     : failure == attempt_failure::rejected ||
-                             failure == attempt_failure::wrong_target
-                         ? call_end::rejected
-                         : call_end::failed;
+    auto const end = end_for(failure);
     end_attempt(end);
     owner_.log().write(line_kind::attempt,
                        log_line{"Attempt failed."}
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -16,7 +16,9 @@
 
 /// Changes within this time share a report. Shorter than a dispatch takes to
 /// reach its target and back, so that two daemons seldom take one place.
-constexpr base::duration change_delay = 4ms;
+constexpr base::duration change_delay = 8ms;
+/// Daemons come and go in seconds.
+constexpr base::duration others_interval = 1s;
 /// Several in the time after which a daemon counts as silent.
 constexpr base::duration heartbeat_interval = 150ms;
 /// Datagrams of another layout are dropped.
@@ -162,9 +164,11 @@
     owner_.fill(report);
     report.life_ = life_;
     report.number_ = ++number_;
+    auto const tell_others = last_sent_ - others_told_ >= others_interval;
+    others_told_ = tell_others ? last_sent_ : others_told_;
     for (auto const peer : board_.heard(last_sent_))
     {
-        if (report.others_.size() < routing::peer_report::most_addresses)
+        if (tell_others && report.others_.size() < routing::peer_report::most_addresses)
         {
             report.others_.push_back(static_cast<std::uint32_t>(peer));
         }
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -57,7 +57,8 @@
     net::udp_port port_;
     net::alarm change_alarm_;
     net::alarm heartbeat_alarm_;
-    base::time_point last_sent_ = base::time_point{};
+    base::time_point last_sent_{};
+    base::time_point others_told_{};
 };
 
 std::optional<routing::peer_ip> parse_peer_ip(std::string const& ip);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -33,6 +33,9 @@
 constexpr base::duration crash_notice_time = 2s;
 /// What a workspace spent is told again for this long.
 constexpr base::duration spent_notice_time = 2s;
+/// A quota may be overspent by what is admitted in this time; far less than
+/// its burst.
+constexpr base::duration spent_interval = 60ms;
 
 /// Callers learn of a planned stop within this time: they keep an answer of
 /// the directory for up to three times as long as they are told.
@@ -357,7 +360,7 @@
 base::duration traffic::retry_after(call const& refused)
 {
     return dispatcher_.retry_after(refused.about().pool_,
-                                   refused.about().tier_);
+                                   refused.about().tier_, net::now());
 }
 
 void traffic::open_channel(
@@ -567,7 +570,12 @@
             ? static_cast<std::uint64_t>(configuration_->version())
             : 0;
     dispatcher_.report_usage(report);
-    for (auto const& usage : quotas_.own_usage(now - spent_notice_time))
+    // Totals lose nothing by waiting for the next report that carries them.
+    auto const tell_spent = now - spent_told_ >= spent_interval;
+    spent_told_ = tell_spent ? now : spent_told_;
+    for (auto const& usage : tell_spent
+                                 ? quotas_.own_usage(now - spent_notice_time)
+                                 : std::vector<routing::quota_usage>{})
     {
         if (report.spent_.size() < routing::peer_report::most_spent)
         {
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -133,6 +133,7 @@
     std::deque<broken_call> broken_;
     /// Crashes to tell the others, oldest first.
     std::deque<told_crash> crashes_;
+    base::time_point spent_told_{};
     std::map<base::target_id, bool> probing_;
 
     net::alarm advance_alarm_;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -16,12 +16,15 @@
 
 /// Pauses after failed connects: a restarted target is back within seconds.
 constexpr sched::target_health::settings pauses{300ms, 2s};
-/// Parts of its objective that a request waits before it is refused. Longer
-/// waits for the first tier, which is worth most when late.
-constexpr double patience_first_tier = 2.5;
-constexpr double patience = 1.0;
+/// Part of its objective that a request may wait and still be on time; the
+/// rest is for the target.
+constexpr double on_time_part = 0.7;
+/// It is refused after this many objectives, or this part of the time it had:
+/// the caller needs the rest to come back.
+constexpr double patience = 2.0;
+constexpr double most_held_part = 0.3;
 /// Added to the cost of a target in another data centre, in parts of the mean.
-constexpr double distance_cost = 0.15;
+constexpr double distance_cost = 0.4;
 /// Growth of the cost from an idle to a full target, in parts.
 constexpr double load_cost = 0.5;
 /// Cost of a target whose answers all fail, in parts of the mean.
@@ -110,14 +113,14 @@
     int sum = 0;
     for (auto const* t : p.targets_)
     {
-        sum += t->info_.draining_ ? 0 : t->info_.slots_;
+        sum += t->info_.draining_ || t->displaced_ ? 0 : t->info_.slots_;
     }
     return sum;
 }
 
 int dispatcher::free_places(target_record const& t, base::time_point now) const
 {
-    if (t.info_.draining_)
+    if (t.info_.draining_ || t.displaced_)
     {
         return 0;
     }
@@ -192,7 +195,7 @@
     return std::any_of(p.targets_.begin(), p.targets_.end(),
                        [&](target_record const* t)
                        {
-                           return !t->info_.draining_ &&
+                           return !t->info_.draining_ && !t->displaced_ &&
                                   std::find(call.tried_.begin(),
                                             call.tried_.end(),
                                             t->info_.id_) ==
@@ -243,13 +246,23 @@
     return base::from_seconds(ahead * p.place_seconds_ / all);
 }
 
-base::duration dispatcher::retry_after(base::pool_id const& id, base::tier tier)
+// Refused requests are told to come back one after the other, as fast as the
+// pool can serve them once those that wait are served.
+base::duration dispatcher::retry_after(base::pool_id const& id,
+                                       base::tier tier, base::time_point now)
 {
-    auto const wait = expected_wait(pool(id), tier);
-    auto const spread = 0.75 + 0.5 * random_.uniform();
-    auto const jittered = base::from_seconds(
-        base::seconds(std::max(wait, shortest_retry)) * spread);
-    return std::min(jittered, longest_retry);
+    auto& p = pool(id);
+    auto const rate = p.place_seconds_ == 0 ? 0.0 : places(p) / p.place_seconds_;
+    auto const passed = base::seconds(now - p.booked_at_);
+    p.booked_ = std::max(0.0, p.booked_ - passed * rate);
+    p.booked_at_ = now;
+    auto const queued = base::seconds(expected_wait(p, tier));
+    auto const booked = rate == 0 ? 0.0 : p.booked_ / rate;
+    p.booked_ += 1;
+    auto const wait =
+        std::max(base::seconds(shortest_retry), queued + booked) *
+        (0.9 + 0.2 * random_.uniform());
+    return std::min(base::from_seconds(wait), longest_retry);
 }
 
 void dispatcher::submit(call_item item, base::time_point now)
@@ -263,14 +276,17 @@
         return;
     }
     auto const tier = item.work_.tier_;
+    auto const objective = base::seconds(item.objective_);
+    auto const left = base::seconds(item.work_.deadline_ - now);
     auto const hold = base::from_seconds(
-        base::seconds(item.objective_) *
-        (base::index(tier) == 0 ? patience_first_tier : patience));
+        std::min(objective * patience, left * most_held_part));
     if (expected_wait(p, tier) > hold)
     {
-        auto const advice = retry_after(item.work_.pool_, tier);
-        refused_.push_back(sched::refusal{
-            request, {}, sched::refusal_cause::overloaded, advice});
+        refused_.push_back(
+            sched::refusal{request,
+                           {},
+                           sched::refusal_cause::overloaded,
+                           retry_after(item.work_.pool_, tier, now)});
         return;
     }
     auto w = std::make_unique<waiting_call>();
@@ -278,17 +294,22 @@
     w->cost_ = sched::cost_of(item.work_.prompt_tokens_,
                               item.work_.most_output_tokens_);
     w->enqueued_ = now;
-    w->expires_ = std::min(now + hold, item.work_.deadline_);
-    w->expiry_cause_ = item.work_.deadline_ <= now + hold
-                           ? sched::refusal_cause::deadline
-                           : sched::refusal_cause::overloaded;
+    w->refused_at_ = now + hold;
+    w->expires_ = std::min(
+        now + base::from_seconds(objective * on_time_part), w->refused_at_);
+    w->expiry_cause_ = sched::refusal_cause::overloaded;
     w->call_ = std::move(item);
     expiries_.add(w->expires_, request);
-    p.queue_.push(*w);
+    queue_of(p, *w).push(*w);
     ++p.waiting_.at(base::index(tier));
     waiting_.emplace(request, std::move(w));
 }
 
+sched::fair_queue& dispatcher::queue_of(pool_record& p, waiting_call const& w)
+{
+    return w.is_late_ ? p.late_ : p.on_time_;
+}
+
 std::unique_ptr<dispatcher::waiting_call>
 dispatcher::remove(base::request_id request)
 {
@@ -308,7 +329,7 @@
 {
     if (auto const w = remove(request))
     {
-        pool(w->item_.pool_).queue_.erase(*w);
+        queue_of(pool(w->item_.pool_), *w).erase(*w);
     }
 }
 
@@ -322,16 +343,44 @@
 {
     while (expiries_.due(now))
     {
-        auto const w = remove(expiries_.first());
-        auto const& item = w->item_;
-        pool(item.pool_).queue_.erase(*w);
-        out.push_back(sched::refusal{item.request_,
-                                     {},
-                                     w->expiry_cause_,
-                                     retry_after(item.pool_, item.tier_)});
+        auto const request = expiries_.first();
+        auto& w = *waiting_.at(request);
+        auto& p = pool(w.item_.pool_);
+        if (!w.is_late_ && now < w.refused_at_)
+        {
+            expiries_.remove(w.expires_, request);
+            p.on_time_.erase(w);
+            w.is_late_ = true;
+            w.expires_ = w.refused_at_;
+            p.late_.push(w);
+            expiries_.add(w.expires_, request);
+            continue;
+        }
+        auto const item = w.item_;
+        auto const cause = w.expiry_cause_;
+        withdraw(request);
+        out.push_back(
+            sched::refusal{request,
+                           {},
+                           cause,
+                           retry_after(item.pool_, item.tier_, now)});
     }
 }
 
+// On time before late within a tier, so that work beyond capacity makes some
+// requests late and not all of them.
+dispatcher::waiting_call* dispatcher::front(pool_record& p)
+{
+    constexpr auto all = base::tier{base::max_tiers - 1};
+    auto* const fresh = static_cast<waiting_call*>(p.on_time_.front(all));
+    auto* const late = static_cast<waiting_call*>(p.late_.front(all));
+    if (fresh == nullptr || late == nullptr)
+    {
+        return fresh != nullptr ? fresh : late;
+    }
+    return fresh->item_.tier_ <= late->item_.tier_ ? fresh : late;
+}
+
 bool dispatcher::yields(pool_record const& p, base::tier tier, int free) const
 {
     return peers_.waiting_before(p.digest_, tier) >= free;
@@ -340,19 +389,16 @@
 void dispatcher::serve(pool_record& p, base::time_point now,
                        std::vector<sched::action>& out)
 {
-    auto free = p.queue_.front(base::tier{base::max_tiers - 1}) == nullptr
-                    ? 0
-                    : free_places(p, now);
+    auto free = front(p) == nullptr ? 0 : free_places(p, now);
     while (free > 0)
     {
-        auto* const front = p.queue_.front(base::tier{base::max_tiers - 1});
-        if (front == nullptr || yields(p, front->item_.tier_, free))
+        auto* const next = front(p);
+        if (next == nullptr || yields(p, next->item_.tier_, free))
         {
             return;
         }
-        auto& call = static_cast<waiting_call*>(front)->call_;
-        auto const request = front->item_.request_;
-        auto* const target = choose(p, call, now);
+        auto const request = next->item_.request_;
+        auto* const target = choose(p, next->call_, now);
         if (target == nullptr)
         {
             // Every free place is at a target that it was sent to.
@@ -360,7 +406,7 @@
             refuse(request, sched::refusal_cause::no_target, out);
             continue;
         }
-        p.queue_.take(*front);
+        queue_of(p, *next).take(*next);
         auto const w = remove(request);
         ++target->own_;
         --free;
@@ -415,6 +461,10 @@
         {
             t.health_.on_lost(run.dispatched_, now);
         }
+        else if (end == call_end::displaced)
+        {
+            t.displaced_ = true;
+        }
         else if (end != call_end::cancelled)
         {
             t.health_.on_progress(now);
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -39,6 +39,8 @@
     /// No connection.
     not_connected,
     rejected,
+    /// Another target has its address: it is gone.
+    displaced,
     /// An error, a broken connection, or silence.
     failed,
 };
@@ -87,7 +89,8 @@
     std::size_t waiting() const { return waiting_.size(); }
     std::size_t in_flight() const { return in_flight_.size(); }
     /// When a refused request of this pool and tier may come back.
-    base::duration retry_after(base::pool_id const& pool, base::tier tier);
+    base::duration retry_after(base::pool_id const& pool, base::tier tier,
+                               base::time_point now);
 
 private:
     struct target_record
@@ -95,6 +98,8 @@
         target_info info_;
         id_digest digest_{};
         int own_ = 0;
+        /// Its address belongs to another target; until it registers anew.
+        bool displaced_ = false;
         target_pace pace_;
         failure_rate failures_;
         sched::target_health health_;
@@ -103,6 +108,9 @@
     struct waiting_call : sched::waiting_request
     {
         call_item call_;
+        /// It waits for longer than leaves it on time.
+        bool is_late_ = false;
+        base::time_point refused_at_;
     };
 
     struct running_call
@@ -115,8 +123,14 @@
     struct pool_record
     {
         id_digest digest_{};
-        sched::fair_queue queue_;
+        /// Requests that can still be on time, and late ones, which come after
+        /// the others of their tier.
+        sched::fair_queue on_time_;
+        sched::fair_queue late_;
         std::array<int, base::max_tiers> waiting_{};
+        /// Refused requests that are to come back.
+        double booked_ = 0;
+        base::time_point booked_at_{};
         std::vector<target_record*> targets_;
         /// Mean time that a request holds a place.
         double place_seconds_ = 0;
@@ -124,6 +138,8 @@
 
     pool_record& pool(base::pool_id const& id);
     void expire(base::time_point now, std::vector<sched::action>& out);
+    static sched::fair_queue& queue_of(pool_record& p, waiting_call const& w);
+    static waiting_call* front(pool_record& p);
     void serve(pool_record& p, base::time_point now,
                std::vector<sched::action>& out);
     bool yields(pool_record const& p, base::tier tier, int free) const;
