An urgent request may wait at a full target

Cause: a place that falls free is known to other daemons 8 ms later and to the queue one round trip later, and a lower tier of the daemon that hears first takes it. Conclusion: only requests of the first rank use one extra place.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -118,6 +118,7 @@
     out.objective_ = about_.route_->objective_;
     out.tried_ = tried_;
     out.affinity_ = about_.marks_.affinity_;
+    out.urgent_ = about_.deference_ == 0;
     return out;
 }
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -38,6 +38,9 @@
 constexpr double cost_jitter = 0.1;
 /// Weight of the newest request in the mean time that a place is held.
 constexpr double place_gain = 0.05;
+/// Requests of the first rank that may wait at a full target, so that they
+/// take its next place before any daemon hears that it is free.
+constexpr int urgent_places = 1;
 /// Bounds of the advice when to come back.
 constexpr base::duration shortest_retry = 150ms;
 constexpr base::duration longest_retry = 5s;
@@ -108,6 +111,11 @@
     return found == targets_.end() ? nullptr : &found->second.info_;
 }
 
+int dispatcher::extra_places(call_item const& call)
+{
+    return call.urgent_ ? urgent_places : 0;
+}
+
 int dispatcher::places(pool_record const& p) const
 {
     int sum = 0;
@@ -118,23 +126,25 @@
     return sum;
 }
 
-int dispatcher::free_places(target_record const& t, base::time_point now) const
+int dispatcher::free_places(target_record const& t, int extra,
+                            base::time_point now) const
 {
     if (t.info_.draining_ || t.displaced_)
     {
         return 0;
     }
     auto const used = t.own_ + peers_.in_flight_elsewhere(t.digest_);
-    auto const limit = t.health_.most_outstanding(t.info_.slots_, now);
+    auto const limit = t.health_.most_outstanding(t.info_.slots_ + extra, now);
     return std::max(0, limit - used);
 }
 
-int dispatcher::free_places(pool_record const& p, base::time_point now) const
+int dispatcher::free_places(pool_record const& p, int extra,
+                            base::time_point now) const
 {
     int sum = 0;
     for (auto const* t : p.targets_)
     {
-        sum += free_places(*t, now);
+        sum += free_places(*t, extra, now);
     }
     return sum;
 }
@@ -215,7 +225,7 @@
     {
         auto const tried = std::find(call.tried_.begin(), call.tried_.end(),
                                      t->info_.id_) != call.tried_.end();
-        if (tried || free_places(*t, now) <= 0)
+        if (tried || free_places(*t, extra_places(call), now) <= 0)
         {
             continue;
         }
@@ -389,11 +399,10 @@
 void dispatcher::serve(pool_record& p, base::time_point now,
                        std::vector<sched::action>& out)
 {
-    auto free = front(p) == nullptr ? 0 : free_places(p, now);
-    while (free > 0)
+    while (auto* const next = front(p))
     {
-        auto* const next = front(p);
-        if (next == nullptr || yields(p, next->item_.tier_, free))
+        auto const free = free_places(p, extra_places(next->call_), now);
+        if (free <= 0 || yields(p, next->item_.tier_, free))
         {
             return;
         }
@@ -409,7 +418,6 @@
         queue_of(p, *next).take(*next);
         auto const w = remove(request);
         ++target->own_;
-        --free;
         in_flight_.emplace(
             request, running_call{target->info_.id_, w->item_.pool_, now});
         out.push_back(sched::grant{request, {}, target->info_.id_});
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -28,6 +28,8 @@
     std::vector<base::target_id> tried_;
     /// Of the part of the prompt that a later request may share; 0: none.
     std::uint64_t affinity_ = 0;
+    /// Its route is of the first rank.
+    bool urgent_ = false;
 };
 
 /// How a dispatched request ended at its target.
@@ -143,8 +145,12 @@
     void serve(pool_record& p, base::time_point now,
                std::vector<sched::action>& out);
     bool yields(pool_record const& p, base::tier tier, int free) const;
-    int free_places(target_record const& t, base::time_point now) const;
-    int free_places(pool_record const& p, base::time_point now) const;
+    /// Places left for a request that may use `extra` beyond the target's own.
+    int free_places(target_record const& t, int extra,
+                    base::time_point now) const;
+    int free_places(pool_record const& p, int extra,
+                    base::time_point now) const;
+    static int extra_places(call_item const& call);
     int places(pool_record const& p) const;
     double mean_pace(pool_record const& p) const;
     target_record* choose(pool_record const& p, call_item const& call,
