Leave a silent target only for a free place

Conclusion: stalls go by the pool's usual latency (RFC 6298), a retry of a live attempt needs a free place, streams that have begun go first, the process ends with _Exit.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -19,12 +19,16 @@
 /// what must not run twice does not take that chance.
 constexpr base::duration most_idle_unrepeatable = 700ms;
 constexpr base::duration most_idle_repeatable = 60s;
-/// Silence beyond its objectives after which a request that may be repeated
-/// goes to another target.
-constexpr base::duration stall_margin = 200ms;
-constexpr double stall_gaps = 2.5;
-constexpr double stall_objectives = 2.0;
-constexpr base::duration least_stall = 250ms;
+/// Silence after which a request that may be repeated goes to another target:
+/// mean deviations beyond the usual, and bounds. A stream that goes on in
+/// time for its longest pause is still on time.
+constexpr double stall_deviations_plain = 4;
+constexpr double stall_deviations_stream = 6;
+constexpr base::duration least_stall_plain = 60ms;
+constexpr base::duration least_stall_first = 300ms;
+constexpr base::duration most_stall = 1200ms;
+constexpr double least_stall_gap = 0.6;
+constexpr base::duration stall_recheck = 100ms;
 /// With less time left another attempt would only take a place.
 constexpr base::duration least_time_for_retry = 30ms;
 /// Larger whole answers are refused.
@@ -119,6 +123,11 @@
     out.tried_ = tried_;
     out.affinity_ = about_.marks_.affinity_;
     out.urgent_ = about_.deference_ == 0;
+    out.begun_ = progress_.answer_begun_;
+    if (out.begun_)
+    {
+        work.tier_ = base::tier{0};
+    }
     return out;
 }
 
@@ -285,9 +294,17 @@
         {
             last_event_ = event->id_;
         }
+        auto& usual = owner_.latency(about_.pool_);
         if (attempt_events_ == 0)
         {
             attempt_first_ = now;
+            usual.first_.observe(
+                now - attempt_sent_ -
+                routing::prompt_time(about_.marks_.prompt_tokens_));
+        }
+        else
+        {
+            usual.gap_.observe(now - attempt_last_);
         }
         attempt_last_ = now;
         ++attempt_events_;
@@ -374,6 +391,10 @@
         return;
     }
     owner_.on_pace(target_.id_, net::now() - attempt_sent_, 1);
+    if (!is_stream())
+    {
+        owner_.latency(about_.pool_).first_.observe(net::now() - attempt_sent_);
+    }
     end_attempt(call_end::finished);
     follow(attempt_verdict::pass_on, "");
 }
@@ -395,16 +416,30 @@
     {
         return std::nullopt;
     }
-    if (r.kind_ == routing::route_kind::stream)
+    return is_stream() ? stream_stall_limit() : plain_stall_limit();
+}
+
+base::duration call::plain_stall_limit() const
+{
+    auto const usual = owner_.latency(about_.pool_)
+                           .first_.limit(stall_deviations_plain, most_stall);
+    return std::clamp(usual, least_stall_plain, most_stall);
+}
+
+base::duration call::stream_stall_limit() const
+{
+    auto const& usual = owner_.latency(about_.pool_);
+    if (attempt_events_ > 0)
     {
-        auto const gap =
-            base::from_seconds(stall_gaps * base::seconds(r.gap_objective_));
-        auto const first = attempt_events_ == 0 ? r.objective_ : gap;
-        return std::max(first, gap) + stall_margin;
+        auto const least = base::from_seconds(
+            least_stall_gap * base::seconds(about_.route_->gap_objective_));
+        return std::clamp(usual.gap_.limit(stall_deviations_stream, most_stall),
+                          std::min(least, most_stall), most_stall);
     }
-    return std::max(
-        least_stall,
-        base::from_seconds(stall_objectives * base::seconds(r.objective_)));
+    auto const first =
+        std::clamp(usual.first_.limit(stall_deviations_stream, most_stall),
+                   least_stall_first, most_stall);
+    return first + routing::prompt_time(about_.marks_.prompt_tokens_);
 }
 
 void call::arm_stall()
@@ -426,18 +461,35 @@
     progress.may_have_run_ = true;
     auto const verdict =
         routing::decide(attempt_failure::silent, progress, *about_.route_);
-    // Without a retry there is nothing better than to go on waiting.
     if (verdict != attempt_verdict::again ||
-        deadline_ - net::now() < least_time_for_retry ||
-        !owner_.take_retry(about_.pool_))
+        deadline_ - net::now() < least_time_for_retry)
+    {
+        return;
+    }
+    // The target may still answer, so it is left only for a place that is
+    // free now.
+    auto const next = item();
+    auto const* const place = owner_.find_place(next);
+    if (place == nullptr || !owner_.take_retry(about_.pool_))
     {
+        stall_alarm_.set_after(stall_recheck);
         return;
     }
+    owner_.log().write(line_kind::attempt,
+                       log_line{"Target is silent."}
+                           .with("request", about_.marks_.request_id_)
+                           .with("target", target_.id_.str())
+                           .with("next", place->id_.str())
+                           .with_ms("sent_ms", net::now() - attempt_sent_),
+                       net::now());
+    auto const chosen = *place;
     channel_->close();
     channel_.reset();
     progress_.may_have_run_ = true;
     end_attempt(call_end::failed);
-    follow(attempt_verdict::again, "silent");
+    owner_.place(next, chosen.id_);
+    state_ = state::waiting;
+    on_grant(chosen);
 }
 
 void call::end_attempt(call_end end)
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -7,6 +7,7 @@
 #include "src/routing/attempt_policy.hpp"
 #include "src/routing/dispatcher.hpp"
 #include "src/routing/event_splitter.hpp"
+#include "src/routing/latency_estimate.hpp"
 
 namespace tanagerlead::entry
 {
@@ -37,12 +38,17 @@
     virtual ~call_owner() = default;
 
     virtual void submit(call& waiting, routing::call_item item) = 0;
+    virtual routing::target_info const*
+    find_place(routing::call_item const& item) = 0;
+    virtual void place(routing::call_item const& item,
+                       base::target_id const& target) = 0;
     virtual void withdraw(call& waiting) = 0;
     virtual void on_attempt_end(call& running, routing::call_end end) = 0;
     virtual void on_pace(base::target_id const& target, base::duration took,
                          double units) = 0;
     /// A connection broke while this request was at the target.
     virtual void on_broken(call& running, base::target_id const& target) = 0;
+    virtual routing::pool_latency& latency(base::pool_id const& pool) = 0;
     virtual bool take_retry(base::pool_id const& pool) = 0;
     virtual base::duration retry_after(call const& refused) = 0;
 
@@ -128,6 +134,8 @@
     void on_stall();
     void arm_stall();
     std::optional<base::duration> stall_limit() const;
+    base::duration plain_stall_limit() const;
+    base::duration stream_stall_limit() const;
     void deliver();
     void finish_stream();
     void fail(routing::attempt_failure failure, std::string const& detail);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -326,6 +326,19 @@
     wake();
 }
 
+routing::target_info const*
+traffic::find_place(routing::call_item const& item)
+{
+    return dispatcher_.find_place(item, net::now());
+}
+
+void traffic::place(routing::call_item const& item,
+                    base::target_id const& target)
+{
+    dispatcher_.place(item, target, net::now());
+    peers_.changed();
+}
+
 void traffic::withdraw(call& waiting)
 {
     dispatcher_.withdraw(waiting.about().id_);
@@ -351,6 +364,11 @@
     dispatcher_.on_pace(target, took, units);
 }
 
+routing::pool_latency& traffic::latency(base::pool_id const& pool)
+{
+    return latencies_[pool];
+}
+
 bool traffic::take_retry(base::pool_id const& pool)
 {
     budget_.set_daemons(peers_.board().known().size() + 1);
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -34,11 +34,16 @@
     void leave(std::function<void()> done);
 
     void submit(call& waiting, routing::call_item item) override;
+    routing::target_info const*
+    find_place(routing::call_item const& item) override;
+    void place(routing::call_item const& item,
+               base::target_id const& target) override;
     void withdraw(call& waiting) override;
     void on_attempt_end(call& running, routing::call_end end) override;
     void on_pace(base::target_id const& target, base::duration took,
                  double units) override;
     void on_broken(call& running, base::target_id const& target) override;
+    routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
     base::duration retry_after(call const& refused) override;
     void open_channel(routing::target_info const& target,
@@ -118,6 +123,7 @@
     routing::retry_budget budget_;
     routing::quota_ledger quotas_;
     sched::quarantine quarantine_;
+    std::map<base::pool_id, routing::pool_latency> latencies_;
     channel_pool channels_;
     traffic_metrics metrics_;
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -23,6 +23,8 @@
 /// the caller needs the rest to come back.
 constexpr double patience = 2.0;
 constexpr double most_held_part = 0.3;
+/// Callers of a stream leave after a pause of two seconds or more.
+constexpr base::duration longest_break = 1800ms;
 /// Added to the cost of a target in another data centre, in parts of the mean.
 constexpr double distance_cost = 0.4;
 /// Growth of the cost from an idle to a full target, in parts.
@@ -113,7 +115,7 @@
 
 int dispatcher::extra_places(call_item const& call)
 {
-    return call.urgent_ ? urgent_places : 0;
+    return call.urgent_ || call.begun_ ? urgent_places : 0;
 }
 
 int dispatcher::places(pool_record const& p) const
@@ -275,6 +277,19 @@
     return std::min(base::from_seconds(wait), longest_retry);
 }
 
+base::duration dispatcher::longest_hold(call_item const& call,
+                                        base::time_point now) const
+{
+    auto const left = base::seconds(call.work_.deadline_ - now);
+    if (call.begun_)
+    {
+        return std::min(base::from_seconds(left), longest_break);
+    }
+    return base::from_seconds(
+        std::min(base::seconds(call.objective_) * patience,
+                 left * most_held_part));
+}
+
 void dispatcher::submit(call_item item, base::time_point now)
 {
     auto& p = pool(item.work_.pool_);
@@ -287,10 +302,8 @@
     }
     auto const tier = item.work_.tier_;
     auto const objective = base::seconds(item.objective_);
-    auto const left = base::seconds(item.work_.deadline_ - now);
-    auto const hold = base::from_seconds(
-        std::min(objective * patience, left * most_held_part));
-    if (expected_wait(p, tier) > hold)
+    auto const hold = longest_hold(item, now);
+    if (!item.begun_ && expected_wait(p, tier) > hold)
     {
         refused_.push_back(
             sched::refusal{request,
@@ -335,6 +348,27 @@
     return w;
 }
 
+target_info const* dispatcher::find_place(call_item const& call,
+                                          base::time_point now)
+{
+    auto& p = pool(call.work_.pool_);
+    if (front(p) != nullptr)
+    {
+        return nullptr;
+    }
+    auto const* const target = choose(p, call, now);
+    return target == nullptr ? nullptr : &target->info_;
+}
+
+void dispatcher::place(call_item const& call, base::target_id const& target,
+                       base::time_point now)
+{
+    auto const request = call.work_.request_;
+    assert(!waiting_.contains(request) && !in_flight_.contains(request));
+    ++targets_.at(target).own_;
+    in_flight_.emplace(request, running_call{target, call.work_.pool_, now});
+}
+
 void dispatcher::withdraw(base::request_id request)
 {
     if (auto const w = remove(request))
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -30,6 +30,8 @@
     std::uint64_t affinity_ = 0;
     /// Its route is of the first rank.
     bool urgent_ = false;
+    /// Its caller has part of the answer, which is lost unless it goes on.
+    bool begun_ = false;
 };
 
 /// How a dispatched request ended at its target.
@@ -70,6 +72,12 @@
                      base::time_point now);
 
     void submit(call_item item, base::time_point now);
+    /// A target with a free place that nobody waits for; null when there is
+    /// none. Takes no place.
+    target_info const* find_place(call_item const& call, base::time_point now);
+    /// Takes a place at a target at once.
+    void place(call_item const& call, base::target_id const& target,
+               base::time_point now);
     /// Forgets a request that waits. Nothing when it does not.
     void withdraw(base::request_id request);
     /// A dispatched request is over.
@@ -164,6 +172,8 @@
     void refuse(base::request_id request, sched::refusal_cause cause,
                 std::vector<sched::action>& out);
     std::unique_ptr<waiting_call> remove(base::request_id request);
+    base::duration longest_hold(call_item const& call,
+                                base::time_point now) const;
 
     settings settings_;
     peer_board const& peers_;
--- a/src/routing/quota_ledger.cpp
+++ b/src/routing/quota_ledger.cpp
@@ -9,8 +9,8 @@
 {
 
 /// A new daemon does not know what the others spent just before it started,
-/// so its buckets begin with this much of a second's rate.
-constexpr double start_seconds = 0.25;
+/// so its buckets begin with this part of what they hold.
+constexpr double start_part = 0.35;
 /// Part of the slack that callers get; the rest covers reports on their way.
 constexpr double used_slack = 0.5;
 /// Kept for higher ranks: this part of the bucket, and no more than this many
@@ -45,12 +45,12 @@
             b = known->second;
             fill(b, now);
         }
-        else
-        {
-            b.level_ = std::min(w.burst_, start_seconds * w.rate_);
-        }
         b.rate_ = w.rate_;
         b.burst_ = std::max(w.burst_, w.rate_) + used_slack * slack_;
+        if (known == buckets_.end())
+        {
+            b.level_ = start_part * b.burst_;
+        }
         b.level_ = std::min(b.level_, b.burst_);
         b.filled_ = now;
         next.emplace(w.id_, b);
--- a/tools/entry/tanagerlead_entryd.cpp
+++ b/tools/entry/tanagerlead_entryd.cpp
@@ -9,6 +9,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -66,5 +67,9 @@
             return std::make_unique<tanagerlead::platform::store_client>(loop,
                                                                          store);
         }};
-    return daemon.run() ? 0 : exit_failed;
+    auto const stopped_as_planned = daemon.run();
+    std::fflush(stdout);
+    // All state is gone by now. Ending the logging library waits for its
+    // threads, which took longer than a planned stop may.
+    std::_Exit(stopped_as_planned ? 0 : exit_failed);
 }
