Report often nearby and less often elsewhere

Ruled out: bodies (they go to the own data centre first). Conclusion: near 8 ms and 1 ms a daemon, far 25 ms and 5 ms a daemon.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -14,7 +14,7 @@
 
 /// Many registrations change at once when targets are replaced; new work stops
 /// for a leaving target well within its two seconds.
-constexpr base::duration registry_pacing = 300ms;
+constexpr base::duration registry_pacing = 500ms;
 constexpr std::size_t most_peer_connections = 64;
 constexpr base::duration fetch_timeout = 800ms;
 char const* const configuration_path = "/configuration";
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -14,9 +14,14 @@
 namespace
 {
 
-/// Changes within this time share a report. Shorter than a dispatch takes to
-/// reach its target and back, so that two daemons seldom take one place.
-constexpr base::duration change_delay = 8ms;
+/// Changes within this time share a report. Shorter than a request takes at a
+/// target, so that two daemons seldom take one place.
+constexpr base::duration least_near_interval = 8ms;
+constexpr base::duration near_interval_per_daemon = 1ms;
+/// Targets elsewhere are used when those nearby are full.
+constexpr base::duration least_far_interval = 25ms;
+constexpr base::duration far_interval_per_daemon = 5ms;
+constexpr base::duration most_interval = 200ms;
 /// Daemons come and go in seconds.
 constexpr base::duration others_interval = 1s;
 /// Several in the time after which a daemon counts as silent.
@@ -80,7 +85,8 @@
     : settings_{s}, owner_{owner}, life_{life},
       port_{loop, [this](std::uint32_t from, std::string_view bytes)
             { on_datagram(from, bytes); }},
-      change_alarm_{loop, [this] { send(); }},
+      near_alarm_{loop, [this] { on_near_due(); }},
+      far_alarm_{loop, [this] { on_far_due(); }},
       heartbeat_alarm_{loop, [this] { on_heartbeat(); }}
 {
 }
@@ -134,47 +140,104 @@
     }
 }
 
+peer_exchange::receivers peer_exchange::sort_peers() const
+{
+    auto const own = routing::digest_of(settings_.data_centre_.str());
+    receivers out;
+    for (auto const peer : board_.known())
+    {
+        // One that was never heard may be in the own data centre.
+        auto const where = board_.data_centre_of(peer);
+        (where.value_or(own) == own ? out.near_ : out.far_).push_back(peer);
+    }
+    return out;
+}
+
 void peer_exchange::changed()
 {
-    if (!change_alarm_.is_set())
+    auto const now = net::now();
+    if (!near_alarm_.is_set())
+    {
+        near_alarm_.set(std::max(now, near_sent_ + near_interval_));
+    }
+    if (!far_alarm_.is_set())
     {
-        change_alarm_.set(std::max(net::now(), last_sent_) + change_delay);
+        far_alarm_.set(std::max(now, far_sent_ + far_interval_));
     }
 }
 
+void peer_exchange::on_near_due()
+{
+    auto const peers = sort_peers().near_;
+    near_sent_ = net::now();
+    near_interval_ =
+        std::clamp(near_interval_per_daemon * std::ssize(peers),
+                   base::duration{least_near_interval}, most_interval);
+    send_to(peers, audience::near);
+}
+
+void peer_exchange::on_far_due()
+{
+    auto const peers = sort_peers().far_;
+    far_sent_ = net::now();
+    far_interval_ =
+        std::clamp(far_interval_per_daemon * std::ssize(peers),
+                   base::duration{least_far_interval}, most_interval);
+    send_to(peers, audience::far);
+}
+
 void peer_exchange::on_heartbeat()
 {
-    board_.refresh(net::now());
-    if (board_.heard(net::now()).empty())
+    auto const now = net::now();
+    board_.refresh(now);
+    if (board_.heard(now).empty())
     {
         try_seeds();
     }
-    if (net::now() - last_sent_ >= heartbeat_interval / 2)
+    if (now - near_sent_ >= heartbeat_interval / 2)
     {
-        send();
+        on_near_due();
+    }
+    if (now - far_sent_ >= heartbeat_interval / 2)
+    {
+        on_far_due();
     }
     heartbeat_alarm_.set_after(heartbeat_interval);
 }
 
 void peer_exchange::send()
 {
-    change_alarm_.clear();
-    last_sent_ = net::now();
+    near_alarm_.clear();
+    far_alarm_.clear();
+    on_near_due();
+    on_far_due();
+}
+
+void peer_exchange::send_to(std::vector<routing::peer_ip> const& peers,
+                            audience to)
+{
+    if (peers.empty())
+    {
+        return;
+    }
+    auto const now = net::now();
     routing::peer_report report;
-    owner_.fill(report);
+    owner_.fill(report, to);
     report.life_ = life_;
     report.number_ = ++number_;
-    auto const tell_others = last_sent_ - others_told_ >= others_interval;
-    others_told_ = tell_others ? last_sent_ : others_told_;
-    for (auto const peer : board_.heard(last_sent_))
+    auto& told = others_told_.at(static_cast<std::size_t>(to));
+    auto const tell_others = now - told >= others_interval;
+    told = tell_others ? now : told;
+    for (auto const peer : board_.heard(now))
     {
-        if (tell_others && report.others_.size() < routing::peer_report::most_addresses)
+        if (tell_others &&
+            report.others_.size() < routing::peer_report::most_addresses)
         {
             report.others_.push_back(static_cast<std::uint32_t>(peer));
         }
     }
     auto const bytes = pack(report);
-    for (auto const peer : board_.known())
+    for (auto const peer : peers)
     {
         port_.send(static_cast<std::uint32_t>(peer), bytes);
         ++sent_;
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -7,20 +7,30 @@
 namespace tanagerlead::entry
 {
 
+/// To whom a report goes.
+enum class audience : std::uint8_t
+{
+    /// The own data centre.
+    near,
+    far,
+};
+
 /// Fills in and takes in what daemons tell each other.
 class report_owner
 {
 public:
     virtual ~report_owner() = default;
 
-    virtual void fill(routing::peer_report& report) = 0;
+    virtual void fill(routing::peer_report& report, audience to) = 0;
     virtual void on_news(routing::peer_ip from,
                          routing::peer_report const& report,
                          routing::peer_board::news const& news) = 0;
 };
 
-/// Sends this daemon's report to all others, soon after a change and at least
-/// several times a second, and keeps theirs.
+/// Sends this daemon's report to all others and keeps theirs: soon after a
+/// change to those of its own data centre, whose targets it shares, less often
+/// to the others, and several times a second in any case. The more daemons,
+/// the longer between reports, so that a daemon's cost grows slowly.
 class peer_exchange
 {
 public:
@@ -41,6 +51,17 @@
     std::uint64_t sent() const { return sent_; }
 
 private:
+    /// Daemons by distance, as they report their data centres.
+    struct receivers
+    {
+        std::vector<routing::peer_ip> near_;
+        std::vector<routing::peer_ip> far_;
+    };
+
+    receivers sort_peers() const;
+    void on_near_due();
+    void on_far_due();
+    void send_to(std::vector<routing::peer_ip> const& peers, audience to);
     void on_datagram(std::uint32_t from, std::string_view bytes);
     void on_heartbeat();
     void try_seeds();
@@ -55,10 +76,14 @@
     std::uint64_t sent_ = 0;
     routing::peer_board board_;
     net::udp_port port_;
-    net::alarm change_alarm_;
+    net::alarm near_alarm_;
+    net::alarm far_alarm_;
     net::alarm heartbeat_alarm_;
-    base::time_point last_sent_{};
-    base::time_point others_told_{};
+    base::time_point near_sent_{};
+    base::time_point far_sent_{};
+    base::duration near_interval_{};
+    base::duration far_interval_{};
+    std::array<base::time_point, 2> others_told_{};
 };
 
 std::optional<routing::peer_ip> parse_peer_ip(std::string const& ip);
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -11,9 +11,8 @@
 /// A change is in force within two seconds, so a daemon that could not read
 /// tries several times in that time.
 constexpr base::duration retry_pause = 250ms;
-/// A watch that waits for no longer than this also finds a connection that
-/// fell silent.
-constexpr base::duration longest_watch = 5s;
+/// Probes of the connection find one that fell silent sooner.
+constexpr base::duration longest_watch = 10s;
 
 } // namespace
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -35,7 +35,7 @@
 constexpr base::duration spent_notice_time = 2s;
 /// A quota may be overspent by what is admitted in this time; far less than
 /// its burst.
-constexpr base::duration spent_interval = 60ms;
+constexpr base::duration spent_interval = 50ms;
 
 /// Callers learn of a planned stop within this time: they keep an answer of
 /// the directory for up to three times as long as they are told.
@@ -578,7 +578,7 @@
     }
 }
 
-void traffic::fill(routing::peer_report& report)
+void traffic::fill(routing::peer_report& report, audience to)
 {
     auto const now = net::now();
     report.state_ = own_state();
@@ -589,8 +589,9 @@
             : 0;
     dispatcher_.report_usage(report);
     // Totals lose nothing by waiting for the next report that carries them.
-    auto const tell_spent = now - spent_told_ >= spent_interval;
-    spent_told_ = tell_spent ? now : spent_told_;
+    auto& told = spent_told_.at(static_cast<std::size_t>(to));
+    auto const tell_spent = now - told >= spent_interval;
+    told = tell_spent ? now : told;
     for (auto const& usage : tell_spent
                                  ? quotas_.own_usage(now - spent_notice_time)
                                  : std::vector<routing::quota_usage>{})
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -59,7 +59,7 @@
     event_log& log() override { return log_; }
     net::asio::io_context& loop() override { return loop_; }
 
-    void fill(routing::peer_report& report) override;
+    void fill(routing::peer_report& report, audience to) override;
     void on_news(routing::peer_ip from, routing::peer_report const& report,
                  routing::peer_board::news const& news) override;
 
@@ -139,7 +139,7 @@
     std::deque<broken_call> broken_;
     /// Crashes to tell the others, oldest first.
     std::deque<told_crash> crashes_;
-    base::time_point spent_told_{};
+    std::array<base::time_point, 2> spent_told_{};
     std::map<base::target_id, bool> probing_;
 
     net::alarm advance_alarm_;
--- a/src/routing/peer_board.cpp
+++ b/src/routing/peer_board.cpp
@@ -180,6 +180,16 @@
     return out;
 }
 
+std::optional<id_digest> peer_board::data_centre_of(peer_ip daemon) const
+{
+    auto const found = peers_.find(daemon);
+    if (found == peers_.end() || !found->second.reported_)
+    {
+        return std::nullopt;
+    }
+    return found->second.last_.data_centre_;
+}
+
 std::vector<peer_ip> peer_board::heard(base::time_point now) const
 {
     std::vector<peer_ip> out;
--- a/src/routing/peer_board.hpp
+++ b/src/routing/peer_board.hpp
@@ -57,6 +57,8 @@
     int waiting_up_to(id_digest pool, base::tier tier) const;
 
     std::vector<peer_ip> known() const;
+    /// As the daemon last reported; empty when it never did.
+    std::optional<id_digest> data_centre_of(peer_ip daemon) const;
     std::vector<peer_ip> heard(base::time_point now) const;
     /// Heard and ready; of all data centres when none is given.
     std::vector<peer_ip> ready(std::optional<id_digest> data_centre,
