Fewer calls to the store

Ruled out: watches that time out (10 s). Conclusion: pauses double from 200 to 900 ms, registry changes are gathered for 700 ms, leases are renewed every 5 s.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -14,7 +14,7 @@
 
 /// Many registrations change at once when targets are replaced; new work stops
 /// for a leaving target well within its two seconds.
-constexpr base::duration registry_pacing = 500ms;
+constexpr base::duration registry_pacing = 700ms;
 constexpr std::size_t most_peer_connections = 64;
 constexpr base::duration fetch_timeout = 800ms;
 char const* const configuration_path = "/configuration";
@@ -82,7 +82,15 @@
                 [this, ip](base::result<net::http_response> answer)
                 {
                     fetching_ = false;
-                    if (answer && answer.value().status_ == 200)
+                    if (!answer)
+                    {
+                        log_.write(line_kind::control,
+                                   log_line{"Configuration not fetched."}.with(
+                                       "reason", answer.error().str()),
+                                   net::now());
+                        return;
+                    }
+                    if (answer.value().status_ == 200)
                     {
                         configuration_.on_document(answer.value().body_, ip);
                     }
--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -38,6 +38,7 @@
         net::http_request const& request);
 
     settings settings_;
+    event_log log_{"control"};
     configuration_reader configuration_;
     registry_reader registry_;
     store_follower configuration_follower_;
--- a/src/entry/daemon_registration.cpp
+++ b/src/entry/daemon_registration.cpp
@@ -10,10 +10,10 @@
 
 std::string const prefix = "tanagerlead/daemons/";
 /// Outlives three missed renewals.
-constexpr base::duration lease_time = 10s;
-constexpr base::duration renewal_interval = 3s;
+constexpr base::duration lease_time = 16s;
+constexpr base::duration renewal_interval = 5s;
 /// After a failed call.
-constexpr base::duration retry_interval = 1s;
+constexpr base::duration retry_interval = 2s;
 
 } // namespace
 
@@ -54,7 +54,15 @@
         lease_time,
         [this](base::result<store_lease> granted)
         {
-            if (!granted || leaving_)
+            if (!granted)
+            {
+                log_.write(line_kind::control,
+                           log_line{"Not registered."}.with(
+                               "reason", granted.error().str()),
+                           net::now());
+                return;
+            }
+            if (leaving_)
             {
                 return;
             }
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -1,5 +1,7 @@
 #include "src/entry/store_follower.hpp"
 
+#include <algorithm>
+
 namespace tanagerlead::entry
 {
 
@@ -8,9 +10,10 @@
 namespace
 {
 
-/// A change is in force within two seconds, so a daemon that could not read
-/// tries several times in that time.
-constexpr base::duration retry_pause = 250ms;
+/// Pauses after failed calls, doubled up to the longest: a change is in force
+/// within two seconds of an outage's end, and each call has its price.
+constexpr base::duration first_pause = 200ms;
+constexpr base::duration longest_pause = 900ms;
 /// Probes of the connection find one that fell silent sooner.
 constexpr base::duration longest_watch = 10s;
 
@@ -20,7 +23,7 @@
                                metadata_store& store, store_reader& reader,
                                settings s, std::uint64_t seed)
     : loop_{loop}, store_{store}, reader_{reader}, settings_{std::move(s)},
-      random_{seed}, alarm_{loop, [this]
+      random_{seed}, pause_{first_pause}, alarm_{loop, [this]
                             {
                                 waits_to_retry_ = false;
                                 if (is_current_)
@@ -146,12 +149,14 @@
     // Whatever was missed in an outage comes with a whole reading.
     is_current_ = false;
     waits_to_retry_ = true;
-    alarm_.set_after(base::from_seconds(base::seconds(retry_pause) *
+    alarm_.set_after(base::from_seconds(base::seconds(pause_) *
                                         (0.7 + 0.6 * random_.uniform())));
+    pause_ = std::min(2 * pause_, base::duration{longest_pause});
 }
 
 void store_follower::succeed()
 {
+    pause_ = first_pause;
     if (lost_)
     {
         lost_ = false;
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -57,6 +57,7 @@
     store_reader& reader_;
     settings settings_;
     base::random_source random_;
+    base::duration pause_;
     net::alarm alarm_;
     std::vector<store_item> items_;
     store_revision first_page_revision_{};
