--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -54,9 +54,8 @@
 
 std::string seconds_text(base::duration d)
 {
-    auto const ms =
-        std::max<std::int64_t>(1, static_cast<std::int64_t>(
-                                      base::milliseconds(d)));
+    auto const ms = std::max<std::int64_t>(
+        1, static_cast<std::int64_t>(base::milliseconds(d)));
     auto const rest = std::to_string(ms % 1000);
     return std::to_string(ms / 1000) + "." + std::string(3 - rest.size(), '0') +
            rest;
@@ -87,13 +86,21 @@
 call::call(call_owner& owner, std::shared_ptr<net::caller_connection> caller,
            subject about)
     : owner_{owner}, caller_{std::move(caller)}, about_{std::move(about)},
-      received_{net::now()},
-      deadline_{received_ +
-                std::min(about_.marks_.time_left_.value_or(
-                             about_.route_->timeout_),
-                         about_.route_->timeout_)},
-      deadline_alarm_{owner.loop(), [this] { on_deadline(); }},
-      stall_alarm_{owner.loop(), [this] { on_stall(); }},
+      received_{net::now()}, deadline_{received_ +
+                                       std::min(
+                                           about_.marks_.time_left_.value_or(
+                                               about_.route_->timeout_),
+                                           about_.route_->timeout_)},
+      deadline_alarm_{owner.loop(),
+                      [this]
+                      {
+                          on_deadline();
+                      }},
+      stall_alarm_{owner.loop(),
+                   [this]
+                   {
+                       on_stall();
+                   }},
       last_event_{about_.marks_.last_event_}
 {
 }
@@ -160,9 +167,8 @@
     assert(state_ == state::waiting);
     state_ = state::connecting;
     target_ = target;
-    auto const most_idle = about_.route_->may_repeat()
-                               ? most_idle_repeatable
-                               : most_idle_unrepeatable;
+    auto const most_idle = about_.route_->may_repeat() ? most_idle_repeatable
+                                                       : most_idle_unrepeatable;
     owner_.open_channel(
         target, most_idle,
         [self = weak_from_this()](std::shared_ptr<net::channel> opened,
@@ -219,16 +225,16 @@
     net::http_request request;
     request.method_ = about_.request_.method_;
     request.target_ = about_.request_.target_;
-    request.headers_ =
-        owner_.speech().forward(about_.request_.headers_, marks);
+    request.headers_ = owner_.speech().forward(about_.request_.headers_, marks);
     request.body_ = about_.request_.body_;
-    caller_->on_drained([this]
-                        {
-                            if (channel_)
-                            {
-                                channel_->pause(false);
-                            }
-                        });
+    caller_->on_drained(
+        [this]
+        {
+            if (channel_)
+            {
+                channel_->pause(false);
+            }
+        });
     arm_stall();
     channel_->exchange(request, *this);
 }
@@ -239,13 +245,12 @@
     auto const unnamed_refusal = marks.request_id_.empty() && marks.not_run_;
     if (marks.request_id_ != about_.marks_.request_id_ && !unnamed_refusal)
     {
-        owner_.log().write(
-            line_kind::attempt,
-            log_line{"Skipped a foreign answer."}
-                .with("request", about_.marks_.request_id_)
-                .with("target", target_.id_.str())
-                .with("foreign_request", marks.request_id_),
-            net::now());
+        owner_.log().write(line_kind::attempt,
+                           log_line{"Skipped a foreign answer."}
+                               .with("request", about_.marks_.request_id_)
+                               .with("target", target_.id_.str())
+                               .with("foreign_request", marks.request_id_),
+                           net::now());
         return net::head_verdict::skip;
     }
     answer_ = head;
@@ -386,8 +391,7 @@
     if (status >= 500)
     {
         progress_.may_have_run_ = true;
-        fail(attempt_failure::target_error,
-             "status " + std::to_string(status));
+        fail(attempt_failure::target_error, "status " + std::to_string(status));
         return;
     }
     owner_.on_pace(target_.id_, net::now() - attempt_sent_, 1);
--- a/src/entry/channel_pool.cpp
+++ b/src/entry/channel_pool.cpp
@@ -98,9 +98,9 @@
     for (auto const& target : targets)
     {
         auto& fresh = next[target.id_];
-        fresh.birth_ = target.birth_;
+        fresh.target_ = target;
         auto const known = kept_.find(target.id_);
-        if (known != kept_.end() && known->second.birth_ == target.birth_)
+        if (known != kept_.end() && known->second.target_.is_same_life(target))
         {
             fresh.idle_.swap(known->second.idle_);
         }
--- a/src/entry/channel_pool.hpp
+++ b/src/entry/channel_pool.hpp
@@ -36,7 +36,7 @@
 private:
     struct kept_channels
     {
-        routing::target_birth birth_{};
+        routing::target_info target_;
         std::vector<std::shared_ptr<net::channel>> idle_;
     };
 
--- a/src/entry/configuration_reader.cpp
+++ b/src/entry/configuration_reader.cpp
@@ -51,13 +51,13 @@
     has_any_ = true;
     version_ = fresh->version();
     document_ = document;
-    log_.write(line_kind::control,
-               log_line{"Configuration in force."}
-                   .with("version", static_cast<std::int64_t>(version_))
-                   .with("source", source)
-                   .with("routes",
-                         static_cast<std::int64_t>(fresh->routes().size())),
-               net::now());
+    log_.write(
+        line_kind::control,
+        log_line{"Configuration in force."}
+            .with("version", static_cast<std::int64_t>(version_))
+            .with("source", source)
+            .with("routes", static_cast<std::int64_t>(fresh->routes().size())),
+        net::now());
     publish_(fresh);
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -40,7 +40,9 @@
                     std::move(outputs.daemons_)},
       peers_{loop}, listener_{loop, most_peer_connections,
                               [this](auto const& from, net::http_request r)
-                              { serve_configuration(from, r); }}
+                              {
+                                  serve_configuration(from, r);
+                              }}
 {
 }
 
--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -33,9 +33,9 @@
     void leave(std::function<void()> done);
 
 private:
-    void serve_configuration(
-        std::shared_ptr<net::caller_connection> const& from,
-        net::http_request const& request);
+    void
+    serve_configuration(std::shared_ptr<net::caller_connection> const& from,
+                        net::http_request const& request);
 
     settings settings_;
     event_log log_{"control"};
--- a/src/entry/daemon_registration.cpp
+++ b/src/entry/daemon_registration.cpp
@@ -22,7 +22,10 @@
                                          std::string name, std::string ip,
                                          published publish)
     : store_{store}, name_{std::move(name)}, ip_{std::move(ip)},
-      publish_{std::move(publish)}, alarm_{loop, [this] { on_alarm(); }}
+      publish_{std::move(publish)}, alarm_{loop, [this]
+                                           {
+                                               on_alarm();
+                                           }}
 {
 }
 
@@ -50,55 +53,55 @@
 
 void daemon_registration::register_again()
 {
-    store_.grant_lease(
-        lease_time,
-        [this](base::result<store_lease> granted)
-        {
-            if (!granted)
-            {
-                log_.write(line_kind::control,
-                           log_line{"Not registered."}.with(
-                               "reason", granted.error().str()),
-                           net::now());
-                return;
-            }
-            if (leaving_)
-            {
-                return;
-            }
-            auto const lease = granted.value();
-            store_.put(prefix + name_, ip_, lease,
-                       [this, lease](base::result<void> written)
+    store_.grant_lease(lease_time,
+                       [this](base::result<store_lease> granted)
                        {
-                           // A lease without its key ends by itself.
-                           if (written)
+                           if (!granted)
                            {
-                               lease_ = lease;
+                               log_.write(line_kind::control,
+                                          log_line{"Not registered."}.with(
+                                              "reason", granted.error().str()),
+                                          net::now());
+                               return;
                            }
-                           read();
+                           if (leaving_)
+                           {
+                               return;
+                           }
+                           auto const lease = granted.value();
+                           store_.put(prefix + name_, ip_, lease,
+                                      [this, lease](base::result<void> written)
+                                      {
+                                          // A lease without its key ends by
+                                          // itself.
+                                          if (written)
+                                          {
+                                              lease_ = lease;
+                                          }
+                                          read();
+                                      });
                        });
-        });
 }
 
 void daemon_registration::renew()
 {
-    store_.renew_lease(
-        *lease_,
-        [this](base::result<void> renewed)
-        {
-            if (!renewed &&
-                renewed.error().code_ == base::error_code::not_found)
-            {
-                log_.write(line_kind::control, log_line{"Lease lapsed."},
-                           net::now());
-                lease_.reset();
-                return;
-            }
-            if (renewed)
-            {
-                read();
-            }
-        });
+    store_.renew_lease(*lease_,
+                       [this](base::result<void> renewed)
+                       {
+                           if (!renewed && renewed.error().code_ ==
+                                               base::error_code::not_found)
+                           {
+                               log_.write(line_kind::control,
+                                          log_line{"Lease lapsed."},
+                                          net::now());
+                               lease_.reset();
+                               return;
+                           }
+                           if (renewed)
+                           {
+                               read();
+                           }
+                       });
 }
 
 void daemon_registration::read()
@@ -129,9 +132,8 @@
         done();
         return;
     }
-    store_.end_lease(*lease_,
-                     [done = std::move(done)](base::result<void> const&)
-                     { done(); });
+    store_.end_lease(*lease_, [done = std::move(done)](
+                                  base::result<void> const&) { done(); });
 }
 
 } // namespace tanagerlead::entry
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -20,37 +20,35 @@
                            store_factory const& make_store)
     : settings_{std::move(s)}, settings_path_{std::move(settings_path)},
       control_work_{control_loop_.get_executor()},
-      traffic_work_{traffic_loop_.get_executor()},
-      store_{make_store(control_loop_, settings_.store_)},
+      traffic_work_{traffic_loop_.get_executor()}, store_{make_store(
+                                                       control_loop_,
+                                                       settings_.store_)},
       traffic_{traffic_loop_, settings_, speech,
                [this](std::string const& ip)
                {
-                   net::asio::post(control_loop_,
-                                   [this, ip]
+                   net::asio::post(control_loop_, [this, ip]
                                    { control_.on_newer_configuration(ip); });
                }},
-      control_{control_loop_,
-               *store_,
-               speech,
-               settings_,
-               {[this](routing::configuration_ptr const& fresh)
-                {
-                    net::asio::post(traffic_loop_, [this, fresh]
-                                    { traffic_.on_configuration(fresh); });
-                },
-                [this](std::vector<routing::target_info> targets)
-                {
-                    net::asio::post(
-                        traffic_loop_,
-                        [this, fresh = std::move(targets)]
-                        { traffic_.on_targets(fresh); });
-                },
-                [this](std::vector<std::string> ips)
-                {
-                    net::asio::post(traffic_loop_,
-                                    [this, listed = std::move(ips)]
-                                    { traffic_.on_daemons(listed); });
-                }}},
+      control_{
+          control_loop_,
+          *store_,
+          speech,
+          settings_,
+          {[this](routing::configuration_ptr const& fresh)
+           {
+               net::asio::post(traffic_loop_, [this, fresh]
+                               { traffic_.on_configuration(fresh); });
+           },
+           [this](std::vector<routing::target_info> targets)
+           {
+               net::asio::post(traffic_loop_, [this, fresh = std::move(targets)]
+                               { traffic_.on_targets(fresh); });
+           },
+           [this](std::vector<std::string> ips)
+           {
+               net::asio::post(traffic_loop_, [this, listed = std::move(ips)]
+                               { traffic_.on_daemons(listed); });
+           }}},
       signals_{traffic_loop_, SIGTERM, SIGINT, SIGHUP},
       log_alarm_{traffic_loop_, [this]
                  {
@@ -75,10 +73,10 @@
     auto const started = traffic_started ? control_.start() : traffic_started;
     if (!started)
     {
-        log_.write(line_kind::control,
-                   log_line{"Cannot start."}.with("reason",
-                                                  started.error().str()),
-                   net::now());
+        log_.write(
+            line_kind::control,
+            log_line{"Cannot start."}.with("reason", started.error().str()),
+            net::now());
         base::flush_log();
         return false;
     }
@@ -88,7 +86,10 @@
                    .with("data_centre", settings_.data_centre_.str())
                    .with("callers", settings_.callers_.str()),
                net::now());
-    control_thread_ = std::thread{[this] { control_loop_.run(); }};
+    control_thread_ = std::thread{[this]
+                                  {
+                                      control_loop_.run();
+                                  }};
     wait_for_signal();
     log_alarm_.set_after(log_interval);
     traffic_loop_.run();
@@ -131,8 +132,7 @@
                             [this]
                             {
                                 control_.leave(
-                                    [this]
-                                    {
+                                    [this] {
                                         net::asio::post(
                                             traffic_loop_,
                                             [this] { traffic_loop_.stop(); });
--- a/src/entry/event_log.cpp
+++ b/src/entry/event_log.cpp
@@ -42,9 +42,9 @@
 {
     auto& b = budgets_.at(static_cast<std::size_t>(kind));
     auto const passed = b.used_ ? base::seconds(now - b.filled_) : 0.0;
-    b.lines_ = b.used_ ? std::min(most_at_once,
-                                  b.lines_ + passed * lines_per_second)
-                       : most_at_once;
+    b.lines_ =
+        b.used_ ? std::min(most_at_once, b.lines_ + passed * lines_per_second)
+                : most_at_once;
     b.used_ = true;
     b.filled_ = now;
     if (b.lines_ < 1)
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -1,7 +1,7 @@
 #include "src/entry/peer_exchange.hpp"
 
-#include <boost/outcome/try.hpp>
 #include <boost/asio/ip/address_v4.hpp>
+#include <boost/outcome/try.hpp>
 #include <cereal/archives/binary.hpp>
 
 #include <sstream>
@@ -83,11 +83,25 @@
 peer_exchange::peer_exchange(net::asio::io_context& loop, settings const& s,
                              std::uint64_t life, report_owner& owner)
     : settings_{s}, owner_{owner}, life_{life},
-      port_{loop, [this](std::uint32_t from, std::string_view bytes)
-            { on_datagram(from, bytes); }},
-      near_alarm_{loop, [this] { on_near_due(); }},
-      far_alarm_{loop, [this] { on_far_due(); }},
-      heartbeat_alarm_{loop, [this] { on_heartbeat(); }}
+      port_{loop,
+            [this](std::uint32_t from, std::string_view bytes)
+            {
+                on_datagram(from, bytes);
+            }},
+      near_alarm_{loop,
+                  [this]
+                  {
+                      on_near_due();
+                  }},
+      far_alarm_{loop,
+                 [this]
+                 {
+                     on_far_due();
+                 }},
+      heartbeat_alarm_{loop, [this]
+                       {
+                           on_heartbeat();
+                       }}
 {
 }
 
@@ -96,9 +110,8 @@
     auto const self = parse_peer_ip(settings_.callers_.ip_);
     if (!self)
     {
-        return base::fail(base::error_code::invalid_argument,
-                          "start reports", settings_.callers_.ip_,
-                          "not an IPv4 address");
+        return base::fail(base::error_code::invalid_argument, "start reports",
+                          settings_.callers_.ip_, "not an IPv4 address");
     }
     self_ = *self;
     BOOST_OUTCOME_TRYV(
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -83,7 +83,8 @@
     /// Empty when the path asks something else.
     virtual std::optional<entry_question>
     read_entry_question(std::string_view target) const = 0;
-    virtual std::string write_entry_answer(entry_answer const& answer) const = 0;
+    virtual std::string
+    write_entry_answer(entry_answer const& answer) const = 0;
     virtual bool is_ready_question(std::string_view target) const = 0;
 
     /// Reads the operators' document.
--- a/src/entry/registry_reader.cpp
+++ b/src/entry/registry_reader.cpp
@@ -5,12 +5,16 @@
 
 registry_reader::registry_reader(net::asio::io_context& loop,
                                  protocol const& speech, published publish)
-    : protocol_{speech}, publish_{std::move(publish)},
-      alarm_{loop, [this] { this->publish(); }}
+    : protocol_{speech}, publish_{std::move(publish)}, alarm_{
+                                                           loop, [this]
+                                                           {
+                                                               this->publish();
+                                                           }}
 {
 }
 
-std::optional<routing::target_info> registry_reader::read(store_item const& item)
+std::optional<routing::target_info>
+registry_reader::read(store_item const& item)
 {
     auto entry = protocol_.read_target(item.key_, item.value_);
     if (!entry)
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -24,17 +24,17 @@
                                settings s, std::uint64_t seed)
     : loop_{loop}, store_{store}, reader_{reader}, settings_{std::move(s)},
       random_{seed}, pause_{first_pause}, alarm_{loop, [this]
-                            {
-                                waits_to_retry_ = false;
-                                if (is_current_)
-                                {
-                                    watch();
-                                }
-                                else
-                                {
-                                    read_page("");
-                                }
-                            }}
+                                                 {
+                                                     waits_to_retry_ = false;
+                                                     if (is_current_)
+                                                     {
+                                                         watch();
+                                                     }
+                                                     else
+                                                     {
+                                                         read_page("");
+                                                     }
+                                                 }}
 {
 }
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -48,9 +48,10 @@
                              base::workspace_id const& workspace)
 {
     auto const mix = [](std::string const& text, std::uint64_t seed)
-    { return XXH64(text.data(), text.size(), seed); };
-    return mix(request.body_,
-               mix(request.target_, mix(workspace.str(), 0)));
+    {
+        return XXH64(text.data(), text.size(), seed);
+    };
+    return mix(request.body_, mix(request.target_, mix(workspace.str(), 0)));
 }
 
 std::string host_of(net::header_list const& headers)
@@ -66,8 +67,7 @@
 // The same name for own and reported crashes, so that one counts once.
 base::target_id crashed_target(routing::id_digest digest)
 {
-    return base::target_id{
-        std::to_string(static_cast<std::uint32_t>(digest))};
+    return base::target_id{std::to_string(static_cast<std::uint32_t>(digest))};
 }
 
 std::string retry_text(base::duration wait)
@@ -82,28 +82,42 @@
 traffic::traffic(net::asio::io_context& loop, settings const& s,
                  protocol const& speech, newer_configuration newer)
     : loop_{loop}, settings_{s}, protocol_{speech}, newer_{std::move(newer)},
-      random_{base::entropy()}, life_{random_()},
-      peers_{loop, s, life_, *this},
+      random_{base::entropy()}, life_{random_()}, peers_{loop, s, life_, *this},
       dispatcher_{{s.data_centre_, random_()}, peers_.board()},
       budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
       quotas_{s.quota_slack_}, channels_{loop},
-      callers_{loop,
-               static_cast<std::size_t>(
-                   caller_descriptors *
-                   static_cast<double>(s.most_descriptors_)),
-               [this](auto const& from, net::http_request r)
-               { on_request(from, std::move(r)); }},
+      callers_{
+          loop,
+          static_cast<std::size_t>(caller_descriptors *
+                                   static_cast<double>(s.most_descriptors_)),
+          [this](auto const& from, net::http_request r)
+          {
+              on_request(from, std::move(r));
+          }},
       health_{loop, most_small_connections,
               [this](auto const& from, net::http_request r)
-              { on_health_request(from, r); }},
+              {
+                  on_health_request(from, r);
+              }},
       directory_{loop, most_small_connections,
                  [this](auto const& from, net::http_request r)
-                 { on_directory_request(from, r); }},
+                 {
+                     on_directory_request(from, r);
+                 }},
       metrics_listener_{loop, most_small_connections,
                         [this](auto const& from, net::http_request const&)
-                        { on_metrics_request(from); }},
-      advance_alarm_{loop, [this] { advance(); }},
-      leave_alarm_{loop, [this] { check_left(); }}
+                        {
+                            on_metrics_request(from);
+                        }},
+      advance_alarm_{loop,
+                     [this]
+                     {
+                         advance();
+                     }},
+      leave_alarm_{loop, [this]
+                   {
+                       check_left();
+                   }}
 {
     callers_.on_bad_requests(
         [this](base::address const& from, int status)
@@ -177,11 +191,12 @@
 {
     metrics_.on_turned_away(status);
     log_line line{"Request turned away."};
-    line.with("request", request_id).with("status", status).with("cause", cause);
-    line.with("config",
-              configuration_
-                  ? static_cast<std::int64_t>(configuration_->version())
-                  : 0);
+    line.with("request", request_id)
+        .with("status", status)
+        .with("cause", cause);
+    line.with("config", configuration_ ? static_cast<std::int64_t>(
+                                             configuration_->version())
+                                       : 0);
     if (configuration_)
     {
         line.with_ms("config_age_ms", net::now() - configured_at_);
@@ -291,11 +306,11 @@
         return true;
     }
     auto const& w = *about.workspace_;
-    auto const tokens = about.marks_.has_tokens_
-                            ? static_cast<double>(
-                                  about.marks_.prompt_tokens_ +
+    auto const tokens =
+        about.marks_.has_tokens_
+            ? static_cast<double>(about.marks_.prompt_tokens_ +
                                   about.marks_.most_output_tokens_)
-                            : w.plain_tokens_;
+            : w.plain_tokens_;
     auto const units = w.counts_tokens_ ? tokens : 1.0;
     routing::quota_ledger::demand const demand{units, about.deference_};
     if (!quotas_.admit(w.id_, demand, now))
@@ -311,7 +326,8 @@
                        .with("heard_percent",
                              static_cast<std::int64_t>(100 * view.heard_)),
                    now);
-        turn_away(from, 429, "quota", id, quotas_.book_return(w.id_, demand, now));
+        turn_away(from, 429, "quota", id,
+                  quotas_.book_return(w.id_, demand, now));
         return false;
     }
     about.quota_units_ = units;
@@ -326,8 +342,7 @@
     wake();
 }
 
-routing::target_info const*
-traffic::find_place(routing::call_item const& item)
+routing::target_info const* traffic::find_place(routing::call_item const& item)
 {
     return dispatcher_.find_place(item, net::now());
 }
@@ -377,8 +392,8 @@
 
 base::duration traffic::retry_after(call const& refused)
 {
-    return dispatcher_.retry_after(refused.about().pool_,
-                                   refused.about().tier_, net::now());
+    return dispatcher_.retry_after(refused.about().pool_, refused.about().tier_,
+                                   net::now());
 }
 
 void traffic::open_channel(
@@ -436,8 +451,8 @@
             report_crash(b.fingerprint_, target);
         }
     }
-    std::erase_if(broken_, [&](broken_call const& b)
-                  { return b.target_ == target; });
+    std::erase_if(broken_,
+                  [&](broken_call const& b) { return b.target_ == target; });
 }
 
 void traffic::report_crash(std::uint64_t fingerprint,
@@ -446,13 +461,13 @@
     auto const now = net::now();
     auto const digest = routing::digest_of(target.str());
     quarantine_.on_target_lost(fingerprint, crashed_target(digest), now);
-    log_.write(line_kind::target,
-               log_line{"Target lost with a request."}
-                   .with("target", target.str())
-                   .with("fingerprint",
-                         static_cast<std::int64_t>(fingerprint >> 1))
-                   .with("blocked", quarantine_.blocked(fingerprint, now)),
-               now);
+    log_.write(
+        line_kind::target,
+        log_line{"Target lost with a request."}
+            .with("target", target.str())
+            .with("fingerprint", static_cast<std::int64_t>(fingerprint >> 1))
+            .with("blocked", quarantine_.blocked(fingerprint, now)),
+        now);
     if (crashes_.size() >= routing::peer_report::most_crashes)
     {
         crashes_.pop_front();
@@ -561,8 +576,8 @@
     }
     line.with_ms("first_ms", first)
         .with_ms("total_ms", now - over.received())
-        .with("config", static_cast<std::int64_t>(
-                            about.configuration_->version()))
+        .with("config",
+              static_cast<std::int64_t>(about.configuration_->version()))
         .with("waiting", static_cast<std::int64_t>(dispatcher_.waiting()))
         .with("in_flight", static_cast<std::int64_t>(dispatcher_.in_flight()));
     log_.write(line_kind::request, line, now);
@@ -584,9 +599,8 @@
     report.state_ = own_state();
     report.data_centre_ = routing::digest_of(settings_.data_centre_.str());
     report.config_version_ =
-        configuration_
-            ? static_cast<std::uint64_t>(configuration_->version())
-            : 0;
+        configuration_ ? static_cast<std::uint64_t>(configuration_->version())
+                       : 0;
     dispatcher_.report_usage(report);
     // Totals lose nothing by waiting for the next report that carries them.
     auto& told = spent_told_.at(static_cast<std::size_t>(to));
@@ -620,8 +634,7 @@
     quotas_.set_heard_part(peers_.board().heard_part(net::now()), net::now());
 }
 
-void traffic::on_news(routing::peer_ip from,
-                      routing::peer_report const& report,
+void traffic::on_news(routing::peer_ip from, routing::peer_report const& report,
                       routing::peer_board::news const& news)
 {
     auto const now = net::now();
@@ -641,9 +654,8 @@
             now - std::chrono::milliseconds{crash.age_ms_});
     }
     auto const own_version =
-        configuration_
-            ? static_cast<std::uint64_t>(configuration_->version())
-            : 0;
+        configuration_ ? static_cast<std::uint64_t>(configuration_->version())
+                       : 0;
     if (report.config_version_ > own_version)
     {
         newer_(to_string(from));
@@ -767,9 +779,9 @@
 {
     if (!refusing_)
     {
-        auto const quiet_since = leave_ends_ + leave_margin - settings_.grace_ +
-                                 std::min(longest_serving_when_leaving,
-                                          settings_.grace_ / 3);
+        auto const quiet_since =
+            leave_ends_ + leave_margin - settings_.grace_ +
+            std::min(longest_serving_when_leaving, settings_.grace_ / 3);
         if (net::now() < quiet_since)
         {
             leave_alarm_.set(quiet_since);
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -25,6 +25,13 @@
             protocol const& speech, newer_configuration newer);
 
     base::result<void> start();
+    /// Where callers and health checks connect.
+    base::address callers_address() const { return callers_.local_address(); }
+    base::address health_address() const { return health_.local_address(); }
+    base::address directory_address() const
+    {
+        return directory_.local_address();
+    }
     void on_configuration(routing::configuration_ptr configuration);
     void on_targets(std::vector<routing::target_info> targets);
     void on_daemons(std::vector<std::string> const& ips);
@@ -46,11 +53,10 @@
     routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
     base::duration retry_after(call const& refused) override;
-    void open_channel(routing::target_info const& target,
-                      base::duration most_idle,
-                      std::function<void(std::shared_ptr<net::channel>,
-                                         net::error_code)>
-                          done) override;
+    void open_channel(
+        routing::target_info const& target, base::duration most_idle,
+        std::function<void(std::shared_ptr<net::channel>, net::error_code)>
+            done) override;
     void keep_channel(base::target_id const& target,
                       std::shared_ptr<net::channel> const& used) override;
     void on_over(call& over, call_outcome outcome,
@@ -93,8 +99,8 @@
     void on_health_request(connection_ptr const& from,
                            net::http_request const& request);
     void on_metrics_request(connection_ptr const& from);
-    std::vector<base::address> entry_addresses(
-        base::data_centre_id const& near) const;
+    std::vector<base::address>
+    entry_addresses(base::data_centre_id const& near) const;
 
     void wake();
     void advance();
--- a/src/entry/traffic_metrics.cpp
+++ b/src/entry/traffic_metrics.cpp
@@ -112,8 +112,8 @@
     }
     for (auto const& [cause, count] : causes_)
     {
-        append_sample(out, "tanagerlead_causes_total",
-                      "cause=" + quoted(cause), static_cast<double>(count));
+        append_sample(out, "tanagerlead_causes_total", "cause=" + quoted(cause),
+                      static_cast<double>(count));
     }
     for (auto const& [status, count] : turned_away_)
     {
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -43,7 +43,10 @@
                                      connection_owner& owner)
     : socket_{std::move(socket)}, owner_{owner},
       alarm_{static_cast<asio::io_context&>(socket_.get_executor().context()),
-             [this] { on_alarm(); }},
+             [this]
+             {
+                 on_alarm();
+             }},
       limits_{owner.limits()}
 {
     error_code error;
@@ -59,8 +62,7 @@
 
 void caller_connection::read_more()
 {
-    if (reading_ || closed_ ||
-        (busy_ && buffer_.size() >= most_unread_bytes))
+    if (reading_ || closed_ || (busy_ && buffer_.size() >= most_unread_bytes))
     {
         return;
     }
@@ -164,8 +166,7 @@
         (boost::beast::iequals(coding->value(), "chunked") &&
          head.count(http::field::transfer_encoding) == 1);
     return sound_coding && head.count(http::field::host) == 1 &&
-           head.count(http::field::content_length) <= 1 &&
-           head.version() == 11;
+           head.count(http::field::content_length) <= 1 && head.version() == 11;
 }
 
 void caller_connection::welcome_body()
@@ -293,10 +294,10 @@
         return;
     }
     writing_.swap(out_);
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](error_code const& error,
-                                                  std::size_t)
-                      { self->on_written(error); });
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this()](error_code const& error, std::size_t)
+        { self->on_written(error); });
 }
 
 void caller_connection::on_written(error_code const& error)
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -51,8 +51,11 @@
 } // namespace
 
 channel::channel(asio::io_context& loop, base::address peer)
-    : socket_{loop}, peer_{std::move(peer)},
-      connect_alarm_{loop, [this] { on_connect_timeout(); }}
+    : socket_{loop}, peer_{std::move(peer)}, connect_alarm_{
+                                                 loop, [this]
+                                                 {
+                                                     on_connect_timeout();
+                                                 }}
 {
 }
 
@@ -60,17 +63,16 @@
 {
     connected_ = std::move(done);
     connect_alarm_.set_after(timeout);
-    socket_.async_connect(
-        to_endpoint(peer_),
-        [self = shared_from_this()](error_code const& error)
-        {
-            if (self->connected_)
-            {
-                auto const tell = std::move(self->connected_);
-                self->connected_ = nullptr;
-                self->on_connected(error, tell);
-            }
-        });
+    socket_.async_connect(to_endpoint(peer_),
+                          [self = shared_from_this()](error_code const& error)
+                          {
+                              if (self->connected_)
+                              {
+                                  auto const tell = std::move(self->connected_);
+                                  self->connected_ = nullptr;
+                                  self->on_connected(error, tell);
+                              }
+                          });
 }
 
 void channel::on_connected(error_code const& error, connected const& done)
@@ -138,10 +140,10 @@
 void channel::send()
 {
     sending_ = true;
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](error_code const& error,
-                                                  std::size_t)
-                      { self->on_sent(error); });
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this()](error_code const& error, std::size_t)
+        { self->on_sent(error); });
 }
 
 void channel::on_sent(error_code const& error)
@@ -320,8 +322,7 @@
         break;
     }
     keeps_ = parser_->keep_alive();
-    idle_time_ =
-        announced_idle_time(head.headers_).value_or(usual_idle_time);
+    idle_time_ = announced_idle_time(head.headers_).value_or(usual_idle_time);
     return true;
 }
 
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -68,8 +68,8 @@
     /// Of a peer that announces none.
     static constexpr base::duration usual_idle_time = std::chrono::seconds{2};
 
-    using parser = boost::beast::http::response_parser<
-        boost::beast::http::buffer_body>;
+    using parser =
+        boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     void on_connected(error_code const& error, connected const& done);
     void on_connect_timeout();
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -12,8 +12,8 @@
 }
 
 alarm::alarm(asio::io_context& loop, std::function<void()> rings)
-    : timer_{loop}, rings_{std::move(rings)},
-      alive_{std::make_shared<bool>(true)}
+    : timer_{loop}, rings_{std::move(rings)}, alive_{
+                                                  std::make_shared<bool>(true)}
 {
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -26,7 +26,10 @@
             http_request request, answered done)
         : owner_{owner}, peer_{std::move(peer)}, step_{std::move(step)},
           request_{std::move(request)}, done_{std::move(done)},
-          alarm_{owner.loop_, [this] { on_timeout(); }}
+          alarm_{owner.loop_, [this]
+                 {
+                     on_timeout();
+                 }}
     {
     }
 
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -15,8 +15,8 @@
 
 http_listener::http_listener(asio::io_context& loop,
                              std::size_t most_connections, handler on_request)
-    : loop_{loop}, acceptor_{loop}, most_connections_{most_connections},
-      handler_{std::move(on_request)}
+    : loop_{loop}, acceptor_{loop},
+      most_connections_{most_connections}, handler_{std::move(on_request)}
 {
 }
 
@@ -55,15 +55,14 @@
         loop_,
         [this](error_code const& error, tcp::socket socket)
         {
-            if (error == asio::error::operation_aborted ||
-                !acceptor_.is_open())
+            if (error == asio::error::operation_aborted || !acceptor_.is_open())
             {
                 return;
             }
             if (error)
             {
-                auto const timer = std::make_shared<asio::steady_timer>(
-                    loop_, accept_pause);
+                auto const timer =
+                    std::make_shared<asio::steady_timer>(loop_, accept_pause);
                 timer->async_wait([this, timer](error_code const&)
                                   { accept(); });
                 return;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -15,9 +15,8 @@
 {
 
 constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive",        "Proxy-Connection",
-    "TE",         "Trailer",           "Transfer-Encoding",
-    "Upgrade",    "Content-Length",    "Expect"};
+    "Connection",        "Keep-Alive", "Proxy-Connection", "TE",    "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect"};
 
 void append_fields(std::string& out, header_list const& headers)
 {
@@ -72,10 +71,9 @@
 
 std::size_t header_list::count(std::string_view name) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(fields_.begin(), fields_.end(),
-                      [&](header_field const& f)
-                      { return same_name(f.name_, name); }));
+    return static_cast<std::size_t>(std::count_if(
+        fields_.begin(), fields_.end(),
+        [&](header_field const& f) { return same_name(f.name_, name); }));
 }
 
 bool header_list::has_token(std::string_view name, std::string_view token) const
@@ -176,9 +174,9 @@
 std::string to_chunk(std::string_view bytes)
 {
     std::array<char, 2 * sizeof(std::size_t)> size{};
-    auto const end = std::to_chars(size.data(), size.data() + size.size(),
-                                   bytes.size(), 16)
-                         .ptr;
+    auto const end =
+        std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16)
+            .ptr;
     std::string out{size.data(), end};
     return out.append("\r\n").append(bytes).append("\r\n");
 }
--- a/src/routing/configuration.cpp
+++ b/src/routing/configuration.cpp
@@ -32,14 +32,13 @@
     : version_{version}, routes_{std::move(routes)},
       workspaces_{std::move(workspaces)}, limits_{limits}
 {
-    std::stable_sort(routes_.begin(), routes_.end(),
-                     [](route const& a, route const& b)
-                     {
-                         return std::tuple(std::string_view{a.host_},
-                                           b.prefix_.size()) <
-                                std::tuple(std::string_view{b.host_},
-                                           a.prefix_.size());
-                     });
+    std::stable_sort(
+        routes_.begin(), routes_.end(),
+        [](route const& a, route const& b)
+        {
+            return std::tuple(std::string_view{a.host_}, b.prefix_.size()) <
+                   std::tuple(std::string_view{b.host_}, a.prefix_.size());
+        });
     std::vector<int> route_ranks;
     for (auto const& r : routes_)
     {
@@ -78,9 +77,9 @@
 route const* configuration::find_route(std::string_view host,
                                        std::string_view path) const
 {
-    auto const first = std::lower_bound(
-        routes_.begin(), routes_.end(), host,
-        [](route const& r, std::string_view h) { return r.host_ < h; });
+    auto const first = std::lower_bound(routes_.begin(), routes_.end(), host,
+                                        [](route const& r, std::string_view h)
+                                        { return r.host_ < h; });
     for (auto at = first; at != routes_.end() && at->host_ == host; ++at)
     {
         if (path.starts_with(at->prefix_))
@@ -93,9 +92,9 @@
 
 workspace const* configuration::find_workspace(std::string_view key) const
 {
-    auto const at = std::lower_bound(
-        keys_.begin(), keys_.end(), key,
-        [](key_entry const& e, std::string_view k) { return e.key_ < k; });
+    auto const at = std::lower_bound(keys_.begin(), keys_.end(), key,
+                                     [](key_entry const& e, std::string_view k)
+                                     { return e.key_ < k; });
     if (at == keys_.end() || at->key_ != key)
     {
         return nullptr;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -78,7 +78,7 @@
         if (known != targets_.end())
         {
             // A new life under an old id starts with nothing.
-            if (known->second.info_.birth_ == info.birth_)
+            if (known->second.info_.is_same_life(info))
             {
                 record = std::move(known->second);
             }
@@ -184,8 +184,8 @@
 
 // Rendezvous hashing: all daemons agree on the target, and a change of the
 // targets moves few keys.
-dispatcher::target_record const*
-dispatcher::home_of(pool_record const& p, std::uint64_t affinity)
+dispatcher::target_record const* dispatcher::home_of(pool_record const& p,
+                                                     std::uint64_t affinity)
 {
     target_record const* home = nullptr;
     std::uint64_t highest = 0;
@@ -210,8 +210,7 @@
                            return !t->info_.draining_ && !t->displaced_ &&
                                   std::find(call.tried_.begin(),
                                             call.tried_.end(),
-                                            t->info_.id_) ==
-                                      call.tried_.end();
+                                            t->info_.id_) == call.tried_.end();
                        });
 }
 
@@ -262,25 +261,24 @@
     for (std::size_t t = 0; t < base::index(tier); ++t)
     {
         higher += p.waiting_.at(t);
-        before -=
-            p.on_time_.backlog(base::tier{static_cast<std::uint8_t>(t)});
+        before -= p.on_time_.backlog(base::tier{static_cast<std::uint8_t>(t)});
     }
     auto const backlog = p.on_time_.backlog(tier);
     auto const part =
         backlog > 0 ? std::clamp(before / backlog, 0.0, 1.0) : 0.0;
-    auto const here =
-        part * static_cast<double>(p.on_time_.size(tier));
-    return expected_wait(
-        p, higher + here * (1 + peers_.daemons_waiting(p.digest_)));
+    auto const here = part * static_cast<double>(p.on_time_.size(tier));
+    return expected_wait(p, higher +
+                                here * (1 + peers_.daemons_waiting(p.digest_)));
 }
 
 // Refused requests are told to come back one after the other, as fast as the
 // pool can serve them once those that wait are served.
-base::duration dispatcher::retry_after(base::pool_id const& id,
-                                       base::tier tier, base::time_point now)
+base::duration dispatcher::retry_after(base::pool_id const& id, base::tier tier,
+                                       base::time_point now)
 {
     auto& p = pool(id);
-    auto const rate = p.place_seconds_ == 0 ? 0.0 : places(p) / p.place_seconds_;
+    auto const rate =
+        p.place_seconds_ == 0 ? 0.0 : places(p) / p.place_seconds_;
     auto const passed = base::seconds(now - p.booked_at_);
     p.booked_ = std::max(0.0, p.booked_ - passed * rate);
     p.booked_at_ = now;
@@ -292,9 +290,8 @@
     auto const queued = base::seconds(expected_wait(p, ahead));
     auto const booked = rate == 0 ? 0.0 : p.booked_ / rate;
     p.booked_ += 1;
-    auto const wait =
-        std::max(base::seconds(shortest_retry), queued + booked) *
-        (0.9 + 0.2 * random_.uniform());
+    auto const wait = std::max(base::seconds(shortest_retry), queued + booked) *
+                      (0.9 + 0.2 * random_.uniform());
     return std::min(base::from_seconds(wait), longest_retry);
 }
 
@@ -306,9 +303,8 @@
     {
         return std::min(base::from_seconds(left), longest_break);
     }
-    return base::from_seconds(
-        std::min(base::seconds(call.objective_) * patience,
-                 left * most_held_part));
+    return base::from_seconds(std::min(
+        base::seconds(call.objective_) * patience, left * most_held_part));
 }
 
 void dispatcher::submit(call_item item, base::time_point now)
@@ -324,8 +320,7 @@
     auto const tier = item.work_.tier_;
     auto const objective = base::seconds(item.objective_);
     auto const hold = longest_hold(item, now);
-    if (!item.begun_ &&
-        expected_wait(p, item.work_.workspace_, tier) > hold)
+    if (!item.begun_ && expected_wait(p, item.work_.workspace_, tier) > hold)
     {
         refused_.push_back(
             sched::refusal{request,
@@ -340,8 +335,8 @@
                               item.work_.most_output_tokens_);
     w->enqueued_ = now;
     w->refused_at_ = now + hold;
-    w->expires_ = std::min(
-        now + base::from_seconds(objective * on_time_part), w->refused_at_);
+    w->expires_ = std::min(now + base::from_seconds(objective * on_time_part),
+                           w->refused_at_);
     w->expiry_cause_ = sched::refusal_cause::overloaded;
     w->call_ = std::move(item);
     expiries_.add(w->expires_, request);
@@ -425,11 +420,8 @@
         auto const item = w.item_;
         auto const cause = w.expiry_cause_;
         withdraw(request);
-        out.push_back(
-            sched::refusal{request,
-                           {},
-                           cause,
-                           retry_after(item.pool_, item.tier_, now)});
+        out.push_back(sched::refusal{
+            request, {}, cause, retry_after(item.pool_, item.tier_, now)});
     }
 }
 
--- a/src/routing/peer_board.cpp
+++ b/src/routing/peer_board.cpp
@@ -85,10 +85,10 @@
         // A workspace that the report leaves out keeps its total.
         for (auto const& old : p.last_.spent_)
         {
-            auto const told = std::any_of(
-                report.spent_.begin(), report.spent_.end(),
-                [&](spent_units const& s)
-                { return s.workspace_ == old.workspace_; });
+            auto const told =
+                std::any_of(report.spent_.begin(), report.spent_.end(),
+                            [&](spent_units const& s)
+                            { return s.workspace_ == old.workspace_; });
             if (!told)
             {
                 fresh.spent_.push_back(old);
@@ -152,8 +152,8 @@
     {
         return 0;
     }
-    auto const end = found->second.begin() +
-                     static_cast<std::ptrdiff_t>(base::index(tier));
+    auto const end =
+        found->second.begin() + static_cast<std::ptrdiff_t>(base::index(tier));
     return std::accumulate(found->second.begin(), end, 0);
 }
 
@@ -209,8 +209,7 @@
     std::vector<peer_ip> out;
     for (auto const& [ip, p] : peers_)
     {
-        auto const there =
-            !data_centre || p.last_.data_centre_ == *data_centre;
+        auto const there = !data_centre || p.last_.data_centre_ == *data_centre;
         if (there && p.is_heard(now) && p.last_.state_ == daemon_state::ready)
         {
             out.push_back(ip);
--- a/src/routing/quota_ledger.hpp
+++ b/src/routing/quota_ledger.hpp
@@ -18,11 +18,11 @@
 };
 
 /// Fleet-wide quotas by token bucket. Load it answers: a workspace that asks
-/// for more than its quota gets its quota, spent on its highest ranks first. Each daemon keeps a bucket a workspace
-/// and takes out of it what it admits and what the others say they admitted.
-/// While some of the others are silent the buckets fill only at the heard part
-/// of the rate, so that groups that cannot hear each other stay within the
-/// quota together.
+/// for more than its quota gets its quota, spent on its highest ranks first.
+/// Each daemon keeps a bucket a workspace and takes out of it what it admits
+/// and what the others say they admitted. While some of the others are silent
+/// the buckets fill only at the heard part of the rate, so that groups that
+/// cannot hear each other stay within the quota together.
 class quota_ledger
 {
 public:
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -53,8 +53,8 @@
     auto const parts =
         std::max(static_cast<double>(least_parts),
                  unknown_daemons * static_cast<double>(daemons_));
-    auto const allowed = used_ratio * settings_.ratio_ * requests +
-                         settings_.slack_ / parts;
+    auto const allowed =
+        used_ratio * settings_.ratio_ * requests + settings_.slack_ / parts;
     if (repeats + 1 > allowed)
     {
         return false;
--- a/src/routing/target_info.hpp
+++ b/src/routing/target_info.hpp
@@ -28,6 +28,14 @@
     target_birth birth_{};
 
     bool operator==(target_info const&) const = default;
+
+    /// Whether what is known of the other still holds: a target may start
+    /// again under its id, also at another address.
+    bool is_same_life(target_info const& other) const
+    {
+        return id_ == other.id_ && birth_ == other.birth_ &&
+               address_ == other.address_;
+    }
 };
 
 } // namespace tanagerlead::routing
--- /dev/null
+++ b/tests/entry/fixture.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "platform/wire_protocol.hpp"
+#include "src/entry/traffic.hpp"
+#include "tests/entry/scripted_target.hpp"
+#include "tests/http/raw_caller.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <future>
+
+namespace tanagerlead::test
+{
+
+/// A traffic loop on loopback with a configuration and targets that a test
+/// gives it.
+class entry_fixture
+{
+public:
+    entry_fixture()
+        : traffic_{loop_, make_settings(), speech_,
+                   [](std::string const&) {
+                   }},
+          thread_{[this]
+                  {
+                      loop_.run();
+                  }}
+    {
+        on_loop([this] { CHECK(traffic_.start().has_value()); });
+    }
+
+    ~entry_fixture()
+    {
+        loop_.stop();
+        thread_.join();
+    }
+
+    entry_fixture(entry_fixture const&) = delete;
+    entry_fixture& operator=(entry_fixture const&) = delete;
+
+    void on_loop(std::function<void()> const& work)
+    {
+        std::promise<void> done;
+        net::asio::post(loop_,
+                        [&]
+                        {
+                            work();
+                            done.set_value();
+                        });
+        done.get_future().wait();
+    }
+
+    /// Routes /plain/ (idempotent), /once/, /stream/ (resumable), /flow/ (not).
+    void configure(base::duration timeout = std::chrono::seconds{5})
+    {
+        std::vector<routing::route> routes;
+        auto const add = [&](char const* prefix, routing::route_kind kind,
+                             int attempts, bool resumable)
+        {
+            routing::route r;
+            r.name_ = prefix;
+            r.host_ = "a.example";
+            r.prefix_ = prefix;
+            r.kind_ = kind;
+            r.pools_ = {{base::pool_id{"p"}, 1}};
+            r.timeout_ = timeout;
+            r.objective_ = std::chrono::milliseconds{500};
+            r.gap_objective_ = std::chrono::milliseconds{400};
+            r.most_attempts_ = attempts;
+            r.resumable_ = resumable;
+            routes.push_back(r);
+        };
+        add("/plain/", routing::route_kind::idempotent, 2, false);
+        add("/once/", routing::route_kind::non_idempotent, 2, false);
+        add("/stream/", routing::route_kind::stream, 2, true);
+        add("/flow/", routing::route_kind::stream, 1, false);
+        routing::workspace shop;
+        shop.id_ = base::workspace_id{"shop"};
+        shop.keys_ = {"k"};
+        auto const fresh = std::make_shared<routing::configuration const>(
+            base::config_version{1}, routes,
+            std::vector<routing::workspace>{shop},
+            routing::caller_limits{4096, 8192, std::chrono::seconds{3},
+                                   std::chrono::seconds{15}});
+        on_loop([&] { traffic_.on_configuration(fresh); });
+    }
+
+    void set_targets(std::vector<scripted_target const*> const& targets)
+    {
+        std::vector<routing::target_info> infos;
+        for (auto const* const t : targets)
+        {
+            routing::target_info info;
+            info.id_ = base::target_id{"i-" + std::to_string(infos.size())};
+            info.pool_ = base::pool_id{"p"};
+            info.address_ = t->address();
+            info.data_centre_ = base::data_centre_id{"here"};
+            infos.push_back(info);
+        }
+        on_loop([&] { traffic_.on_targets(infos); });
+    }
+
+    base::address callers()
+    {
+        base::address out;
+        on_loop([&] { out = traffic_.callers_address(); });
+        return out;
+    }
+
+    base::address health()
+    {
+        base::address out;
+        on_loop([&] { out = traffic_.health_address(); });
+        return out;
+    }
+
+    entry::traffic& daemon() { return traffic_; }
+
+    static std::string request(std::string const& path,
+                               std::string const& body = "",
+                               std::string const& more = "")
+    {
+        return "POST " + path +
+               " HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k\r\n"
+               "Tanagerlead-Request-Id: q1\r\nTanagerlead-Deadline-Ms: "
+               "4000\r\n" +
+               more + "Content-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+
+private:
+    static entry::settings make_settings()
+    {
+        entry::settings s;
+        s.daemon_ = base::daemon_id{"d"};
+        s.data_centre_ = base::data_centre_id{"here"};
+        s.callers_ = {"127.0.0.1", 0};
+        s.health_ = {"127.0.0.1", 0};
+        s.directory_ = {"127.0.0.1", 0};
+        s.grace_ = std::chrono::seconds{3};
+        return s;
+    }
+
+    net::asio::io_context loop_{1};
+    net::asio::executor_work_guard<net::asio::io_context::executor_type> work_{
+        loop_.get_executor()};
+    platform::wire_protocol speech_;
+    entry::traffic traffic_;
+    std::thread thread_;
+};
+
+} // namespace tanagerlead::test
--- /dev/null
+++ b/tests/entry/scripted_target.cpp
@@ -0,0 +1,204 @@
+#include "tests/entry/scripted_target.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+
+namespace tanagerlead::test
+{
+
+scripted_target::scripted_target(script answers)
+    : script_{std::move(answers)}, listener_{::socket(AF_INET, SOCK_STREAM, 0)}
+{
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof name);
+    ::listen(listener_, 16);
+    socklen_t size = sizeof name;
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&name), &size);
+    address_ = {"127.0.0.1", ntohs(name.sin_port)};
+    thread_ = std::thread{[this]
+                          {
+                              loop();
+                          }};
+}
+
+scripted_target::~scripted_target()
+{
+    {
+        std::lock_guard const lock{mutex_};
+        stopping_ = true;
+        if (open_ >= 0)
+        {
+            ::shutdown(open_, SHUT_RDWR);
+        }
+    }
+    ::shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    ::close(listener_);
+}
+
+std::vector<std::string> scripted_target::requests() const
+{
+    std::lock_guard const lock{mutex_};
+    return requests_;
+}
+
+bool scripted_target::peer_left() const
+{
+    std::lock_guard const lock{mutex_};
+    return peer_left_;
+}
+
+void scripted_target::loop()
+{
+    while (true)
+    {
+        auto const socket = ::accept(listener_, nullptr, nullptr);
+        if (socket < 0)
+        {
+            return;
+        }
+        {
+            std::lock_guard const lock{mutex_};
+            if (stopping_)
+            {
+                ::close(socket);
+                return;
+            }
+            open_ = socket;
+        }
+        serve(socket);
+        std::lock_guard const lock{mutex_};
+        ::close(socket);
+        open_ = -1;
+    }
+}
+
+bool scripted_target::read_request(int socket, std::string& pending,
+                                   std::string& request)
+{
+    while (true)
+    {
+        auto const head_end = pending.find("\r\n\r\n");
+        if (head_end != std::string::npos)
+        {
+            auto const length = field_of(pending, "Content-Length");
+            auto const size =
+                head_end + 4 + (length.empty() ? 0 : std::stoul(length));
+            if (pending.size() >= size)
+            {
+                request = pending.substr(0, size);
+                pending.erase(0, size);
+                return true;
+            }
+        }
+        std::array<char, 4096> bytes{};
+        auto const got = ::recv(socket, bytes.data(), bytes.size(), 0);
+        if (got <= 0)
+        {
+            return false;
+        }
+        pending.append(bytes.data(), static_cast<std::size_t>(got));
+    }
+}
+
+void scripted_target::serve(int socket)
+{
+    std::string pending;
+    std::string request;
+    while (read_request(socket, pending, request))
+    {
+        {
+            std::lock_guard const lock{mutex_};
+            requests_.push_back(request);
+        }
+        if (!play(socket, script_(request)))
+        {
+            return;
+        }
+    }
+}
+
+bool scripted_target::play(int socket, std::vector<answer_step> const& steps)
+{
+    for (auto const& step : steps)
+    {
+        std::array<char, 256> rest{};
+        switch (step.action_)
+        {
+        case answer_step::action::send:
+            ::send(socket, step.bytes_.data(), step.bytes_.size(),
+                   MSG_NOSIGNAL);
+            break;
+        case answer_step::action::close:
+            return false;
+        case answer_step::action::reset:
+        {
+            linger const hard{1, 0};
+            ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+            return false;
+        }
+        case answer_step::action::wait_for_peer:
+            while (::recv(socket, rest.data(), rest.size(), 0) > 0)
+            {
+            }
+            std::lock_guard const lock{mutex_};
+            peer_left_ = !stopping_;
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string field_of(std::string const& request, std::string const& name)
+{
+    auto const at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos || at > request.find("\r\n\r\n"))
+    {
+        return {};
+    }
+    auto const begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+namespace
+{
+
+std::string proof_of(std::string const& request)
+{
+    return "Tanagerlead-Request-Id: " +
+           field_of(request, "Tanagerlead-Request-Id") +
+           "\r\nTanagerlead-Server-Signature: proof\r\n";
+}
+
+} // namespace
+
+std::string whole_answer(std::string const& request, int status,
+                         std::string const& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + proof_of(request) +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string stream_head(std::string const& request)
+{
+    return "HTTP/1.1 200 OK\r\n" + proof_of(request) +
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string event_chunk(int id)
+{
+    auto const event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    std::array<char, 16> size{};
+    (void)std::snprintf(size.data(), size.size(), "%zx", event.size());
+    return std::string{size.data()} + "\r\n" + event + "\r\n";
+}
+
+} // namespace tanagerlead::test
--- /dev/null
+++ b/tests/platform/wire_protocol_test.cpp
@@ -0,0 +1,186 @@
+#include "platform/wire_protocol.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tanagerlead;
+using namespace tanagerlead::platform;
+
+namespace
+{
+
+struct header_case
+{
+    char const* name_;
+    char const* field_;
+    char const* value_;
+    bool accepted_;
+};
+
+constexpr header_case header_cases[] = {
+    {"time left", "Tanagerlead-Deadline-Ms", "5000", true},
+    {"time left is text", "Tanagerlead-Deadline-Ms", "soon", false},
+    {"time left is negative", "Tanagerlead-Deadline-Ms", "-1", false},
+    {"time left is empty", "Tanagerlead-Deadline-Ms", "", false},
+    {"tokens", "Tanagerlead-Token-Usage", "1460,80", true},
+    {"one token count", "Tanagerlead-Token-Usage", "1460", false},
+    {"negative tokens", "Tanagerlead-Token-Usage", "-5,80", false},
+    {"tokens overflow", "Tanagerlead-Token-Usage", "99999999999999999999,1",
+     false},
+    {"last event", "Last-Event-Id", "12", true},
+    {"last event is text", "Last-Event-Id", "12a", false},
+    {"odd prompt parts", "Tanagerlead-Prompt-Prefix", ",:,", true},
+};
+
+net::header_list caller_headers()
+{
+    net::header_list h;
+    h.add("Host", "a.example");
+    h.add("Tanagerlead-Request-Id", "9c41");
+    h.add("Tanagerlead-Model", "m");
+    h.add("Tanagerlead-Token-Usage", "1460,80");
+    h.add("Tanagerlead-Prompt-Prefix", "5c1e:800,e440:250");
+    h.add("Tanagerlead-Deadline-Ms", "5000");
+    h.add("X-Api-Key", "secret");
+    h.add("Tanagerlead-Tenant", "forged");
+    h.add("Tanagerlead-Target-Instance", "forged");
+    h.add("Tanagerlead-Hold", "forged");
+    h.add("Tanagerlead-Pin-Ms", "1");
+    h.add("Tanagerlead-Kv-Backup", "10.0.0.1:80");
+    h.add("Kv-From", "10.0.0.1:80/1");
+    h.add("Kv-Fetch", "10.0.0.1:80");
+    h.add("Connection", "close, X-Hop");
+    h.add("X-Hop", "1");
+    h.add("Content-Length", "3");
+    h.add("X-Other", "kept");
+    return h;
+}
+
+std::string text(net::header_list const& h, char const* name)
+{
+    auto const* const value = h.find(name);
+    return value == nullptr ? "(none)" : *value;
+}
+
+net::http_response answer(int status,
+                          std::vector<net::header_field> const& fields)
+{
+    net::http_response out;
+    out.status_ = status;
+    for (auto const& f : fields)
+    {
+        out.headers_.add(f.name_, f.value_);
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(wire_protocol)
+{
+    wire_protocol speech;
+};
+
+TEST(wire_protocol, reads_what_a_caller_says)
+{
+    auto const read = speech.read_call(caller_headers());
+    CHECK(read.has_value());
+    auto const& m = read.value();
+    STRCMP_EQUAL("9c41", m.request_id_.c_str());
+    STRCMP_EQUAL("secret", m.key_.c_str());
+    CHECK(m.time_left_ == std::chrono::seconds{5});
+    LONGS_EQUAL(1460, m.prompt_tokens_);
+    LONGS_EQUAL(80, m.most_output_tokens_);
+    CHECK(m.affinity_ != 0);
+}
+
+TEST(wire_protocol, refuses_malformed_fields)
+{
+    for (auto const& c : header_cases)
+    {
+        net::header_list h;
+        h.add(c.field_, c.value_);
+        CHECK_TEXT(speech.read_call(h).has_value() == c.accepted_, c.name_);
+    }
+}
+
+TEST(wire_protocol, gives_parts_of_prompts_equal_keys)
+{
+    net::header_list a;
+    a.add("Tanagerlead-Prompt-Prefix", "1:5,ab:9");
+    net::header_list b;
+    b.add("Tanagerlead-Prompt-Prefix", "2:7,ab:9");
+    CHECK(speech.read_call(a).value().affinity_ ==
+          speech.read_call(b).value().affinity_);
+}
+
+TEST(wire_protocol, sets_what_is_the_systems_to_set)
+{
+    entry::forward_marks marks;
+    marks.target_ = base::target_id{"i-7"};
+    marks.workspace_ = base::workspace_id{"shop"};
+    marks.time_left_ = std::chrono::milliseconds{1234};
+    auto const h = speech.forward(caller_headers(), marks);
+    STRCMP_EQUAL("shop", text(h, "Tanagerlead-Tenant").c_str());
+    STRCMP_EQUAL("i-7", text(h, "Tanagerlead-Target-Instance").c_str());
+    STRCMP_EQUAL("1234", text(h, "Tanagerlead-Deadline-Ms").c_str());
+    STRCMP_EQUAL("9c41", text(h, "Tanagerlead-Request-Id").c_str());
+    STRCMP_EQUAL("1460,80", text(h, "Tanagerlead-Token-Usage").c_str());
+    STRCMP_EQUAL("kept", text(h, "X-Other").c_str());
+    for (auto const* const gone :
+         {"X-Api-Key", "Tanagerlead-Hold", "Tanagerlead-Pin-Ms",
+          "Tanagerlead-Kv-Backup", "Kv-From", "Kv-Fetch", "Connection", "X-Hop",
+          "Content-Length", "Last-Event-Id"})
+    {
+        CHECK_TEXT(h.find(gone) == nullptr, gone);
+    }
+}
+
+TEST(wire_protocol, names_no_workspace_for_an_anonymous_caller)
+{
+    auto const h = speech.forward(caller_headers(), {});
+    CHECK(h.find("Tanagerlead-Tenant") == nullptr);
+}
+
+TEST(wire_protocol, tells_what_a_target_says_of_its_answer)
+{
+    auto const good = speech.read_answer(
+        answer(200, {{"Tanagerlead-Request-Id", "9c41"},
+                     {"Tanagerlead-Server-Signature", "s"}}));
+    CHECK(good.proven_ && !good.not_run_ && !good.is_altered_);
+    CHECK(speech.read_answer(answer(503, {{"Tanagerlead-Not-Executed", "1"}}))
+              .not_run_);
+    CHECK(!speech.read_answer(answer(503, {})).not_run_);
+    CHECK(speech.read_answer(answer(421, {})).not_run_);
+    CHECK(speech.read_answer(answer(200, {{"Content-Encoding", "gzip"}}))
+              .is_altered_);
+}
+
+TEST(wire_protocol, answers_where_to_connect)
+{
+    auto const q = speech.read_entry_question(
+        "/v1/resolve?Name=a.example&Region=r&Zone=plateau");
+    CHECK(q.has_value());
+    STRCMP_EQUAL("plateau", q->data_centre_.str().c_str());
+    CHECK(!speech.read_entry_question("/v1/ready"));
+    CHECK(speech.is_ready_question("/v1/ready"));
+    STRCMP_EQUAL(
+        R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})",
+        speech.write_entry_answer({{{"10.0.0.1", 80}}, std::chrono::seconds{2}})
+            .c_str());
+}
+
+TEST(wire_protocol, survives_odd_questions)
+{
+    for (auto const* const target :
+         {"/v1/resolve", "/v1/resolve?", "/v1/resolve?&&", "/v1/resolve?Zone",
+          "/v1/resolve?Zone=", "/v1/resolve?=x&Zone=="})
+    {
+        CHECK_TEXT(speech.read_entry_question(target).has_value(), target);
+    }
+}
+
+TEST(wire_protocol, takes_the_id_of_a_target_from_its_key)
+{
+    STRCMP_EQUAL("i-1", speech.target_of("servers/i-1").str().c_str());
+    STRCMP_EQUAL("other", speech.target_of("other").str().c_str());
+}
--- a/tests/routing/configuration_test.cpp
+++ b/tests/routing/configuration_test.cpp
@@ -59,15 +59,18 @@
                  c.find("a.example", "/x/yz", "k1").route_->name_.c_str());
     STRCMP_EQUAL("other",
                  c.find("b.example", "/x/y/", "k1").route_->name_.c_str());
-    CHECK(c.find("a.example", "/z/", "k1").verdict_ == lookup_verdict::no_route);
-    CHECK(c.find("c.example", "/x/", "k1").verdict_ == lookup_verdict::no_route);
+    CHECK(c.find("a.example", "/z/", "k1").verdict_ ==
+          lookup_verdict::no_route);
+    CHECK(c.find("c.example", "/x/", "k1").verdict_ ==
+          lookup_verdict::no_route);
 }
 
 TEST(configuration, does_not_take_a_query_for_a_path)
 {
     auto const c = sample();
-    STRCMP_EQUAL("short",
-                 c.find("a.example", "/x/?q=/x/y/", "k1").route_->name_.c_str());
+    STRCMP_EQUAL(
+        "short",
+        c.find("a.example", "/x/?q=/x/y/", "k1").route_->name_.c_str());
     CHECK(c.find("a.example", "/x?/y/", "k1").verdict_ ==
           lookup_verdict::no_route);
 }
@@ -79,8 +82,8 @@
     CHECK(c.find("a.example", "/x/", "k9").verdict_ == lookup_verdict::no_key);
     auto open = make_route("open", "a.example", "/");
     open.allows_anonymous_ = true;
-    configuration const o{base::config_version{1}, {open},
-                          {make_workspace("w", "k", 0)}, {}};
+    configuration const o{
+        base::config_version{1}, {open}, {make_workspace("w", "k", 0)}, {}};
     CHECK(o.find("a.example", "/", "").verdict_ == lookup_verdict::found);
     POINTERS_EQUAL(nullptr, o.find("a.example", "/", "").workspace_);
 }
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -74,8 +74,7 @@
     d->submit(call(6, 0, "large"), at(0s));
     for (std::uint64_t i = 0; i < 5; ++i)
     {
-        end(d.granted_.back().request_.sequence_, call_end::finished,
-            at(10ms));
+        end(d.granted_.back().request_.sequence_, call_end::finished, at(10ms));
         d.advance(at(10ms));
     }
     CHECK(d.granted_numbers() == (numbers{1, 6, 3, 5, 4, 2}));
--- a/tests/routing/fleet_play.cpp
+++ b/tests/routing/fleet_play.cpp
@@ -99,23 +99,22 @@
     for (std::size_t t = 0; t < servers_.size(); ++t)
     {
         auto& running = servers_[t].running_;
-        std::erase_if(running,
-                      [&](std::uint64_t number)
-                      {
-                          auto const& j = jobs_.at(number);
-                          if (j.ends_ > now)
-                          {
-                              return false;
-                          }
-                          auto& d = *daemons_[j.daemon_].driver_->operator->();
-                          d.on_pace(settings_.targets_[t].id_,
-                                    base::from_seconds(
-                                        1.0 / settings_.speeds_.at(t)),
-                                    1);
-                          d.on_end({1, number}, call_end::finished, now);
-                          jobs_.erase(number);
-                          return true;
-                      });
+        std::erase_if(
+            running,
+            [&](std::uint64_t number)
+            {
+                auto const& j = jobs_.at(number);
+                if (j.ends_ > now)
+                {
+                    return false;
+                }
+                auto& d = *daemons_[j.daemon_].driver_->operator->();
+                d.on_pace(settings_.targets_[t].id_,
+                          base::from_seconds(1.0 / settings_.speeds_.at(t)), 1);
+                d.on_end({1, number}, call_end::finished, now);
+                jobs_.erase(number);
+                return true;
+            });
         start(load, t, now);
     }
 }
--- a/tests/routing/quota_ledger_test.cpp
+++ b/tests/routing/quota_ledger_test.cpp
@@ -86,8 +86,7 @@
     spend(right, 10, 2, at(10s));
     left.set_heard_part(3.0 / 7, at(12s));
     right.set_heard_part(4.0 / 7, at(12s));
-    auto const got =
-        spend(left, 10, 8, at(12s)) + spend(right, 10, 8, at(12s));
+    auto const got = spend(left, 10, 8, at(12s)) + spend(right, 10, 8, at(12s));
     CHECK(got <= rate * 8 + 40);
 }
 
