--- a/src/base/pipe_appender.cpp
+++ b/src/base/pipe_appender.cpp
@@ -14,7 +14,7 @@
 {
 
 /// Lines kept while the reader is slow.
-constexpr std::size_t most_buffered = 256 * 1024;
+constexpr std::size_t most_buffered = 262144;
 /// A pipe that is writable takes this much without waiting (PIPE_BUF).
 constexpr std::size_t write_size = 4096;
 
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -81,7 +81,7 @@
     using parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    static constexpr std::size_t clogged_bytes = 256 * 1024;
+    static constexpr std::size_t clogged_bytes = 262144;
 
     void read_more();
     void on_read(error_code const& error, std::size_t count);
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,5 +1,8 @@
 #include "src/net/http_message.hpp"
 
+// Boost.Core prints its strings and does not say so.
+#include <ostream>
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
--- a/tests/entry/scripted_target.cpp
+++ b/tests/entry/scripted_target.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cassert>
 #include <cstdio>
 
 namespace tanagerlead::test
@@ -17,8 +18,12 @@
     sockaddr_in name{};
     name.sin_family = AF_INET;
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof name);
-    ::listen(listener_, 16);
+    auto const bound =
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof name);
+    auto const listens = ::listen(listener_, 16);
+    assert(bound == 0 && listens == 0);
+    (void)bound;
+    (void)listens;
     socklen_t size = sizeof name;
     ::getsockname(listener_, reinterpret_cast<sockaddr*>(&name), &size);
     address_ = {"127.0.0.1", ntohs(name.sin_port)};
--- a/tests/entry/traffic_test.cpp
+++ b/tests/entry/traffic_test.cpp
@@ -28,11 +28,11 @@
 
 TEST_GROUP(traffic)
 {
-    entry_fixture entry;
+    entry_fixture entry_;
 
     std::string ask(std::string const& request, std::string const& until)
     {
-        raw_caller caller{entry.callers()};
+        raw_caller caller{entry_.callers()};
         caller.send(request);
         return caller.read_until(until);
     }
@@ -44,8 +44,8 @@
                            {
                                return whole(r, 200, "the body");
                            }};
-    entry.configure();
-    entry.set_targets({&target});
+    entry_.configure();
+    entry_.set_targets({&target});
     auto const body = std::string{"GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"};
     auto const answer =
         ask(entry_fixture::request("/plain/x?q=%20", body, "X-Other: y\r\n"),
@@ -117,8 +117,8 @@
                            {
                                return whole(r, 200, "ok");
                            }};
-    entry.configure();
-    entry.set_targets({&target});
+    entry_.configure();
+    entry_.set_targets({&target});
     for (auto const& in : inputs)
     {
         LONGS_EQUAL_TEXT(in.status_, status_of(ask(in.bytes_, end_of_head)),
@@ -134,8 +134,8 @@
                            {
                                return whole(r, 200, "ok");
                            }};
-    entry.configure();
-    entry.set_targets({&target});
+    entry_.configure();
+    entry_.set_targets({&target});
     auto const answer =
         ask("POST /plain/ HTTP/1.1\r\nHost: A.example:80\r\nX-Api-Key: k\r\n"
             "Tanagerlead-Request-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -150,7 +150,7 @@
     auto const answer = ask(entry_fixture::request("/plain/"), end_of_head);
     LONGS_EQUAL(503, status_of(answer));
     CHECK(answer.find("Retry-After: ") != std::string::npos);
-    raw_caller check{entry.health()};
+    raw_caller check{entry_.health()};
     check.send("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n");
     LONGS_EQUAL(503, status_of(check.read_until(end_of_head)));
 }
@@ -161,9 +161,9 @@
                            {
                                return whole(r, 200, "ok");
                            }};
-    entry.configure();
-    entry.set_targets({&target});
-    raw_caller caller{entry.callers()};
+    entry_.configure();
+    entry_.set_targets({&target});
+    raw_caller caller{entry_.callers()};
     caller.send(entry_fixture::request("/plain/1"));
     caller.read_until("ok");
     caller.send(entry_fixture::request("/plain/2"));
@@ -182,8 +182,8 @@
                      "Tanagerlead-Not-Executed: 1\r\n"
                      "Content-Length: 0\r\n\r\n"}};
         }};
-    entry.configure();
-    entry.set_targets({&rejecting});
+    entry_.configure();
+    entry_.set_targets({&rejecting});
     auto const refused = ask(entry_fixture::request("/once/"), end_of_head);
     LONGS_EQUAL(503, status_of(refused));
     CHECK(refused.find("Retry-After: ") != std::string::npos);
@@ -192,7 +192,7 @@
                           {
                               return {{action::reset, ""}};
                           }};
-    entry.set_targets({&dying});
+    entry_.set_targets({&dying});
     LONGS_EQUAL(502,
                 status_of(ask(entry_fixture::request("/once/"), end_of_head)));
     LONGS_EQUAL(1, dying.requests().size());
@@ -208,8 +208,8 @@
                           {
                               return whole(r, 200, "ok");
                           }};
-    entry.configure();
-    entry.set_targets({&dying, &sound});
+    entry_.configure();
+    entry_.set_targets({&dying, &sound});
     for (int i = 0; i < 4; ++i)
     {
         LONGS_EQUAL(200,
@@ -219,20 +219,18 @@
 
 TEST(traffic, passes_no_success_that_its_target_does_not_vouch_for)
 {
+    auto const head = std::string{"HTTP/1.1 200 OK\r\n"
+                                  "Tanagerlead-Request-Id: q1\r\n"};
+    auto const proof = std::string{"Tanagerlead-Server-Signature: p\r\n"};
+    auto const body = std::string{"Content-Length: 2\r\n\r\nok"};
     std::vector<std::string> const answers{
-        "HTTP/1.1 200 OK\r\nTanagerlead-Request-Id: q1\r\n"
-        "Content-Length: 2\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nTanagerlead-Request-Id: q1\r\n"
-        "Tanagerlead-Server-Signature: p\r\nContent-Encoding: gzip\r\n"
-        "Content-Length: 2\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nTanagerlead-Request-Id: q1\r\n"
-        "Tanagerlead-Server-Signature: p\r\nContent-Length: 9\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nTanagerlead-Request-Id: q1\r\n"
-        "Tanagerlead-Server-Signature: p\r\nContent-Length: 2\r\n"
-        "Content-Length: 3\r\n\r\nok",
+        head + body,
+        head + proof + "Content-Encoding: gzip\r\n" + body,
+        head + proof + "Content-Length: 9\r\n\r\nok",
+        head + proof + "Content-Length: 3\r\n" + body,
         "no answer at all\r\n\r\n",
     };
-    entry.configure();
+    entry_.configure();
     for (auto const& bytes : answers)
     {
         scripted_target target{
@@ -240,7 +238,7 @@
             {
                 return {{action::send, bytes}, {action::close, ""}};
             }};
-        entry.set_targets({&target});
+        entry_.set_targets({&target});
         auto const answer = ask(entry_fixture::request("/once/"), end_of_head);
         LONGS_EQUAL_TEXT(502, status_of(answer), bytes.c_str());
     }
@@ -256,8 +254,8 @@
         {
             return {{action::send, foreign + whole_answer(r, 200, "right")}};
         }};
-    entry.configure();
-    entry.set_targets({&target});
+    entry_.configure();
+    entry_.set_targets({&target});
     auto const answer = ask(entry_fixture::request("/once/"), "right");
     CHECK(answer.find("wrong") == std::string::npos);
     CHECK(answer.find("right") != std::string::npos);
@@ -273,8 +271,8 @@
         {
             return {{action::send, head}, {action::close, ""}};
         }};
-    entry.configure();
-    entry.set_targets({&ending});
+    entry_.configure();
+    entry_.set_targets({&ending});
     LONGS_EQUAL(
         200, status_of(ask(entry_fixture::request("/once/"), "up to the end")));
     scripted_target dying{
@@ -282,7 +280,7 @@
         {
             return {{action::send, head}, {action::reset, ""}};
         }};
-    entry.set_targets({&dying});
+    entry_.set_targets({&dying});
     LONGS_EQUAL(502,
                 status_of(ask(entry_fixture::request("/once/"), end_of_head)));
 }
@@ -295,8 +293,8 @@
             return {{action::send, stream_head(r) + event_chunk(1)},
                     {action::send, event_chunk(2) + stream_end}};
         }};
-    entry.configure();
-    entry.set_targets({&target});
+    entry_.configure();
+    entry_.set_targets({&target});
     auto const answer =
         ask(entry_fixture::request("/flow/"), "\r\n" + stream_end);
     CHECK(answer.find("id: 1\n") < answer.find("id: 2\n"));
@@ -319,8 +317,8 @@
     };
     scripted_target first{script};
     scripted_target second{script};
-    entry.configure();
-    entry.set_targets({&first, &second});
+    entry_.configure();
+    entry_.set_targets({&first, &second});
     auto const answer =
         ask(entry_fixture::request("/stream/"), "\r\n" + stream_end);
     for (int id = 1; id <= 4; ++id)
@@ -342,9 +340,9 @@
             return {{action::send, stream_head(r) + event_chunk(1)},
                     {action::reset, ""}};
         }};
-    entry.configure();
-    entry.set_targets({&dying});
-    raw_caller caller{entry.callers()};
+    entry_.configure();
+    entry_.set_targets({&dying});
+    raw_caller caller{entry_.callers()};
     caller.send(entry_fixture::request("/flow/"));
     auto const answer = caller.read_to_end();
     CHECK(answer.find("id: 1\n") != std::string::npos);
@@ -359,10 +357,10 @@
             return {{action::send, stream_head(r) + event_chunk(1)},
                     {action::wait_for_peer, ""}};
         }};
-    entry.configure();
-    entry.set_targets({&target});
+    entry_.configure();
+    entry_.set_targets({&target});
     {
-        raw_caller caller{entry.callers()};
+        raw_caller caller{entry_.callers()};
         caller.send(entry_fixture::request("/flow/"));
         caller.read_until("id: 1\n");
     }
@@ -378,8 +376,8 @@
                            {
                                return {{action::wait_for_peer, ""}};
                            }};
-    entry.configure(std::chrono::milliseconds{200});
-    entry.set_targets({&silent});
+    entry_.configure(std::chrono::milliseconds{200});
+    entry_.set_targets({&silent});
     LONGS_EQUAL(504,
                 status_of(ask(entry_fixture::request("/once/"), end_of_head)));
 }
@@ -393,17 +391,17 @@
                                released.wait();
                                return whole(r, 200, "finished");
                            }};
-    entry.configure();
-    entry.set_targets({&target});
-    raw_caller caller{entry.callers()};
+    entry_.configure();
+    entry_.set_targets({&target});
+    raw_caller caller{entry_.callers()};
     caller.send(entry_fixture::request("/once/"));
     while (target.requests().empty())
     {
         std::this_thread::yield();
     }
     std::promise<void> left;
-    entry.on_loop([&] { entry.daemon().leave([&] { left.set_value(); }); });
-    raw_caller check{entry.health()};
+    entry_.on_loop([&] { entry_.daemon().leave([&] { left.set_value(); }); });
+    raw_caller check{entry_.health()};
     check.send("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n");
     LONGS_EQUAL(503, status_of(check.read_until(end_of_head)));
     release.set_value();
--- a/tests/platform/wire_protocol_test.cpp
+++ b/tests/platform/wire_protocol_test.cpp
@@ -77,12 +77,12 @@
 
 TEST_GROUP(wire_protocol)
 {
-    wire_protocol speech;
+    wire_protocol speech_;
 };
 
 TEST(wire_protocol, reads_what_a_caller_says)
 {
-    auto const read = speech.read_call(caller_headers());
+    auto const read = speech_.read_call(caller_headers());
     CHECK(read.has_value());
     auto const& m = read.value();
     STRCMP_EQUAL("9c41", m.request_id_.c_str());
@@ -99,7 +99,7 @@
     {
         net::header_list h;
         h.add(c.field_, c.value_);
-        CHECK_TEXT(speech.read_call(h).has_value() == c.accepted_, c.name_);
+        CHECK_TEXT(speech_.read_call(h).has_value() == c.accepted_, c.name_);
     }
 }
 
@@ -109,8 +109,8 @@
     a.add("Tanagerlead-Prompt-Prefix", "1:5,ab:9");
     net::header_list b;
     b.add("Tanagerlead-Prompt-Prefix", "2:7,ab:9");
-    CHECK(speech.read_call(a).value().affinity_ ==
-          speech.read_call(b).value().affinity_);
+    CHECK(speech_.read_call(a).value().affinity_ ==
+          speech_.read_call(b).value().affinity_);
 }
 
 TEST(wire_protocol, sets_what_is_the_systems_to_set)
@@ -119,7 +119,7 @@
     marks.target_ = base::target_id{"i-7"};
     marks.workspace_ = base::workspace_id{"shop"};
     marks.time_left_ = std::chrono::milliseconds{1234};
-    auto const h = speech.forward(caller_headers(), marks);
+    auto const h = speech_.forward(caller_headers(), marks);
     STRCMP_EQUAL("shop", text(h, "Tanagerlead-Tenant").c_str());
     STRCMP_EQUAL("i-7", text(h, "Tanagerlead-Target-Instance").c_str());
     STRCMP_EQUAL("1234", text(h, "Tanagerlead-Deadline-Ms").c_str());
@@ -137,35 +137,36 @@
 
 TEST(wire_protocol, names_no_workspace_for_an_anonymous_caller)
 {
-    auto const h = speech.forward(caller_headers(), {});
+    auto const h = speech_.forward(caller_headers(), {});
     CHECK(h.find("Tanagerlead-Tenant") == nullptr);
 }
 
 TEST(wire_protocol, tells_what_a_target_says_of_its_answer)
 {
-    auto const good = speech.read_answer(
+    auto const good = speech_.read_answer(
         answer(200, {{"Tanagerlead-Request-Id", "9c41"},
                      {"Tanagerlead-Server-Signature", "s"}}));
     CHECK(good.proven_ && !good.not_run_ && !good.is_altered_);
-    CHECK(speech.read_answer(answer(503, {{"Tanagerlead-Not-Executed", "1"}}))
+    CHECK(speech_.read_answer(answer(503, {{"Tanagerlead-Not-Executed", "1"}}))
               .not_run_);
-    CHECK(!speech.read_answer(answer(503, {})).not_run_);
-    CHECK(speech.read_answer(answer(421, {})).not_run_);
-    CHECK(speech.read_answer(answer(200, {{"Content-Encoding", "gzip"}}))
+    CHECK(!speech_.read_answer(answer(503, {})).not_run_);
+    CHECK(speech_.read_answer(answer(421, {})).not_run_);
+    CHECK(speech_.read_answer(answer(200, {{"Content-Encoding", "gzip"}}))
               .is_altered_);
 }
 
 TEST(wire_protocol, answers_where_to_connect)
 {
-    auto const q = speech.read_entry_question(
+    auto const q = speech_.read_entry_question(
         "/v1/resolve?Name=a.example&Region=r&Zone=plateau");
     CHECK(q.has_value());
     STRCMP_EQUAL("plateau", q->data_centre_.str().c_str());
-    CHECK(!speech.read_entry_question("/v1/ready"));
-    CHECK(speech.is_ready_question("/v1/ready"));
+    CHECK(!speech_.read_entry_question("/v1/ready"));
+    CHECK(speech_.is_ready_question("/v1/ready"));
     STRCMP_EQUAL(
         R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})",
-        speech.write_entry_answer({{{"10.0.0.1", 80}}, std::chrono::seconds{2}})
+        speech_
+            .write_entry_answer({{{"10.0.0.1", 80}}, std::chrono::seconds{2}})
             .c_str());
 }
 
@@ -175,12 +176,12 @@
          {"/v1/resolve", "/v1/resolve?", "/v1/resolve?&&", "/v1/resolve?Zone",
           "/v1/resolve?Zone=", "/v1/resolve?=x&Zone=="})
     {
-        CHECK_TEXT(speech.read_entry_question(target).has_value(), target);
+        CHECK_TEXT(speech_.read_entry_question(target).has_value(), target);
     }
 }
 
 TEST(wire_protocol, takes_the_id_of_a_target_from_its_key)
 {
-    STRCMP_EQUAL("i-1", speech.target_of("servers/i-1").str().c_str());
-    STRCMP_EQUAL("other", speech.target_of("other").str().c_str());
+    STRCMP_EQUAL("i-1", speech_.target_of("servers/i-1").str().c_str());
+    STRCMP_EQUAL("other", speech_.target_of("other").str().c_str());
 }
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -27,156 +27,157 @@
 
 TEST_GROUP(dispatcher)
 {
-    peer_board peers;
-    driver d{peers};
+    peer_board peers_;
+    driver d_{peers_};
 
     void end(std::uint64_t number, call_end how, base::time_point now)
     {
-        d->on_end({1, number}, how, now);
+        d_->on_end({1, number}, how, now);
     }
 };
 
 TEST(dispatcher, fills_the_places_and_keeps_the_rest_waiting)
 {
-    d->set_targets({target("a", 2)}, at(0s));
+    d_->set_targets({target("a", 2)}, at(0s));
     for (std::uint64_t n = 1; n <= 3; ++n)
     {
-        d->submit(call(n, 1), at(0s));
+        d_->submit(call(n, 1), at(0s));
     }
-    d.advance(at(0s));
-    CHECK(d.granted_numbers() == (numbers{1, 2}));
+    d_.advance(at(0s));
+    CHECK(d_.granted_numbers() == (numbers{1, 2}));
     end(1, call_end::finished, at(10ms));
-    d.advance(at(10ms));
-    CHECK(d.granted_numbers() == (numbers{1, 2, 3}));
+    d_.advance(at(10ms));
+    CHECK(d_.granted_numbers() == (numbers{1, 2, 3}));
 }
 
 TEST(dispatcher, counts_what_other_daemons_run_at_a_target)
 {
-    d->set_targets({target("a", 2)}, at(0s));
-    peers.on_report(peer_ip{2}, others("a", 2), at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
-    CHECK(d.granted_.empty());
-    peers.on_report(peer_ip{2}, others("a", 1), at(5ms));
-    d.advance(at(5ms));
-    CHECK(d.granted_numbers() == numbers{1});
+    d_->set_targets({target("a", 2)}, at(0s));
+    peers_.on_report(peer_ip{2}, others("a", 2), at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_.empty());
+    peers_.on_report(peer_ip{2}, others("a", 1), at(5ms));
+    d_.advance(at(5ms));
+    CHECK(d_.granted_numbers() == numbers{1});
 }
 
 TEST(dispatcher, serves_higher_tiers_first_and_workspaces_in_turn)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1, "large"), at(0s));
-    d.advance(at(0s));
-    d->submit(call(2, 2, "large"), at(0s));
-    d->submit(call(3, 1, "large"), at(0s));
-    d->submit(call(4, 1, "large"), at(0s));
-    d->submit(call(5, 1, "small"), at(0s));
-    d->submit(call(6, 0, "large"), at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1, "large"), at(0s));
+    d_.advance(at(0s));
+    d_->submit(call(2, 2, "large"), at(0s));
+    d_->submit(call(3, 1, "large"), at(0s));
+    d_->submit(call(4, 1, "large"), at(0s));
+    d_->submit(call(5, 1, "small"), at(0s));
+    d_->submit(call(6, 0, "large"), at(0s));
     for (std::uint64_t i = 0; i < 5; ++i)
     {
-        end(d.granted_.back().request_.sequence_, call_end::finished, at(10ms));
-        d.advance(at(10ms));
+        end(d_.granted_.back().request_.sequence_, call_end::finished,
+            at(10ms));
+        d_.advance(at(10ms));
     }
-    CHECK(d.granted_numbers() == (numbers{1, 6, 3, 5, 4, 2}));
+    CHECK(d_.granted_numbers() == (numbers{1, 6, 3, 5, 4, 2}));
 }
 
 TEST(dispatcher, leaves_free_places_to_higher_tiers_elsewhere)
 {
-    d->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
     auto r = others("a", 0);
     r.waiting_ = {{digest_of("llm"), 0, 1}};
-    peers.on_report(peer_ip{2}, r, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
-    CHECK(d.granted_.empty());
-    d->submit(call(2, 0), at(0s));
-    d.advance(at(0s));
-    CHECK(d.granted_numbers() == numbers{2});
+    peers_.on_report(peer_ip{2}, r, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_.empty());
+    d_->submit(call(2, 0), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_numbers() == numbers{2});
 }
 
 TEST(dispatcher, does_not_wait_for_a_daemon_that_fell_silent)
 {
-    d->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
     auto r = others("a", 1);
     r.waiting_ = {{digest_of("llm"), 0, 5}};
-    peers.on_report(peer_ip{2}, r, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
-    CHECK(d.granted_.empty());
+    peers_.on_report(peer_ip{2}, r, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_.empty());
     auto const later = at(peer_board::silence);
-    CHECK(d->next_wakeup() <= later);
-    peers.refresh(later);
-    d.advance(later);
-    CHECK(d.granted_numbers() == numbers{1});
+    CHECK(d_->next_wakeup() <= later);
+    peers_.refresh(later);
+    d_.advance(later);
+    CHECK(d_.granted_numbers() == numbers{1});
 }
 
 TEST(dispatcher, lets_an_urgent_request_wait_at_a_full_target)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
     auto urgent = call(2, 0);
     urgent.urgent_ = true;
-    d->submit(urgent, at(0s));
-    d->submit(call(3, 1), at(0s));
-    d.advance(at(0s));
-    CHECK(d.granted_numbers() == (numbers{1, 2}));
+    d_->submit(urgent, at(0s));
+    d_->submit(call(3, 1), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_numbers() == (numbers{1, 2}));
 }
 
 TEST(dispatcher, serves_those_on_time_before_late_ones_of_their_tier)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
-    d->submit(call(2, 1), at(0s));
-    d->submit(call(3, 2), at(500ms));
-    d.advance(at(800ms));
-    d->submit(call(4, 1), at(800ms));
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
+    d_->submit(call(2, 1), at(0s));
+    d_->submit(call(3, 2), at(500ms));
+    d_.advance(at(800ms));
+    d_->submit(call(4, 1), at(800ms));
     end(1, call_end::finished, at(900ms));
-    d.advance(at(900ms));
+    d_.advance(at(900ms));
     end(4, call_end::finished, at(1s));
-    d.advance(at(1s));
+    d_.advance(at(1s));
     // Late, but of the higher tier.
-    CHECK(d.granted_numbers() == (numbers{1, 4, 2}));
+    CHECK(d_.granted_numbers() == (numbers{1, 4, 2}));
 }
 
 TEST(dispatcher, refuses_what_waited_too_long_with_advice)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d->submit(call(2, 1), at(0s));
-    d.advance(at(0s));
-    d.advance(at(1999ms));
-    CHECK(d.refused_.empty());
-    d.advance(at(2s));
-    LONGS_EQUAL(1, d.refused_.size());
-    LONGS_EQUAL(2, d.refused_[0].request_.sequence_);
-    CHECK(d.refused_[0].cause_ == sched::refusal_cause::overloaded);
-    CHECK(d.refused_[0].retry_after_ > 0s);
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_->submit(call(2, 1), at(0s));
+    d_.advance(at(0s));
+    d_.advance(at(1999ms));
+    CHECK(d_.refused_.empty());
+    d_.advance(at(2s));
+    LONGS_EQUAL(1, d_.refused_.size());
+    LONGS_EQUAL(2, d_.refused_[0].request_.sequence_);
+    CHECK(d_.refused_[0].cause_ == sched::refusal_cause::overloaded);
+    CHECK(d_.refused_[0].retry_after_ > 0s);
 }
 
 TEST(dispatcher, leaves_a_refused_caller_time_to_come_back)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
     auto brief = call(2, 1);
     brief.work_.deadline_ = at(3s);
-    d->submit(brief, at(0s));
-    d.advance(at(0s));
-    d.advance(at(900ms));
-    LONGS_EQUAL(1, d.refused_.size());
+    d_->submit(brief, at(0s));
+    d_.advance(at(0s));
+    d_.advance(at(900ms));
+    LONGS_EQUAL(1, d_.refused_.size());
 }
 
 TEST(dispatcher, tells_refused_callers_to_come_back_one_after_the_other)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
     end(1, call_end::finished, at(500ms));
     auto last = base::duration{};
     for (int i = 0; i < 4; ++i)
     {
-        auto const next = d->retry_after(pool, base::tier{1}, at(500ms));
+        auto const next = d_->retry_after(pool, base::tier{1}, at(500ms));
         CHECK(next > last);
         last = next;
     }
@@ -184,79 +185,79 @@
 
 TEST(dispatcher, refuses_at_once_without_a_target)
 {
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
-    CHECK(d.refused_[0].cause_ == sched::refusal_cause::no_target);
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.refused_[0].cause_ == sched::refusal_cause::no_target);
 }
 
 TEST(dispatcher, sends_no_request_to_a_target_twice)
 {
-    d->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
     auto again = call(1, 1);
     again.tried_ = {base::target_id{"a"}};
-    d->submit(again, at(0s));
-    d.advance(at(0s));
-    CHECK(d.granted_.empty());
-    LONGS_EQUAL(1, d.refused_.size());
+    d_->submit(again, at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_.empty());
+    LONGS_EQUAL(1, d_.refused_.size());
 }
 
 TEST(dispatcher, gives_a_leaving_target_no_work)
 {
     auto leaving = target("a", 4);
     leaving.draining_ = true;
-    d->set_targets({leaving, target("b", 1, "llm", "far")}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d->submit(call(2, 1), at(0s));
-    d.advance(at(0s));
-    LONGS_EQUAL(1, d.granted_.size());
-    STRCMP_EQUAL("b", d.granted_[0].target_.str().c_str());
+    d_->set_targets({leaving, target("b", 1, "llm", "far")}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_->submit(call(2, 1), at(0s));
+    d_.advance(at(0s));
+    LONGS_EQUAL(1, d_.granted_.size());
+    STRCMP_EQUAL("b", d_.granted_[0].target_.str().c_str());
 }
 
 TEST(dispatcher, leaves_a_displaced_target_alone_until_it_registers_anew)
 {
-    d->set_targets({target("a", 2)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
+    d_->set_targets({target("a", 2)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
     end(1, call_end::displaced, at(1ms));
-    d->submit(call(2, 1), at(1ms));
-    d.advance(at(1ms));
-    LONGS_EQUAL(1, d.granted_.size());
+    d_->submit(call(2, 1), at(1ms));
+    d_.advance(at(1ms));
+    LONGS_EQUAL(1, d_.granted_.size());
     auto reborn = target("a", 2);
     reborn.birth_ = target_birth{5};
-    d->set_targets({reborn}, at(2ms));
-    d->submit(call(3, 1), at(2ms));
-    d.advance(at(2ms));
-    LONGS_EQUAL(2, d.granted_.size());
+    d_->set_targets({reborn}, at(2ms));
+    d_->submit(call(3, 1), at(2ms));
+    d_.advance(at(2ms));
+    LONGS_EQUAL(2, d_.granted_.size());
 }
 
 TEST(dispatcher, tries_an_unreachable_target_again_with_one_request)
 {
-    d->set_targets({target("a", 3)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
+    d_->set_targets({target("a", 3)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
     end(1, call_end::not_connected, at(1ms));
-    d->submit(call(2, 1), at(1ms));
-    d->submit(call(3, 1), at(1ms));
-    d.advance(at(100ms));
-    LONGS_EQUAL(1, d.granted_.size());
-    d.advance(at(400ms));
-    LONGS_EQUAL(2, d.granted_.size());
+    d_->submit(call(2, 1), at(1ms));
+    d_->submit(call(3, 1), at(1ms));
+    d_.advance(at(100ms));
+    LONGS_EQUAL(1, d_.granted_.size());
+    d_.advance(at(400ms));
+    LONGS_EQUAL(2, d_.granted_.size());
     end(2, call_end::finished, at(450ms));
-    d.advance(at(450ms));
-    LONGS_EQUAL(3, d.granted_.size());
+    d_.advance(at(450ms));
+    LONGS_EQUAL(3, d_.granted_.size());
 }
 
 TEST(dispatcher, prefers_the_faster_target)
 {
-    d->set_targets({target("slow", 9), target("fast", 9)}, at(0s));
-    d->on_pace(base::target_id{"slow"}, 400ms, 10);
-    d->on_pace(base::target_id{"fast"}, 100ms, 10);
+    d_->set_targets({target("slow", 9), target("fast", 9)}, at(0s));
+    d_->on_pace(base::target_id{"slow"}, 400ms, 10);
+    d_->on_pace(base::target_id{"fast"}, 100ms, 10);
     for (std::uint64_t n = 1; n <= 5; ++n)
     {
-        d->submit(call(n, 1), at(0s));
+        d_->submit(call(n, 1), at(0s));
     }
-    d.advance(at(0s));
-    for (auto const& g : d.granted_)
+    d_.advance(at(0s));
+    for (auto const& g : d_.granted_)
     {
         STRCMP_EQUAL("fast", g.target_.str().c_str());
     }
@@ -264,14 +265,14 @@
 
 TEST(dispatcher, avoids_a_target_whose_answers_fail)
 {
-    d->set_targets({target("bad", 9), target("good", 9)}, at(0s));
+    d_->set_targets({target("bad", 9), target("good", 9)}, at(0s));
     std::uint64_t n = 0;
     int to_bad_late = 0;
     for (int round = 0; round < 40; ++round)
     {
-        d->submit(call(++n, 1), at(0s));
-        d.advance(at(0s));
-        auto const bad = d.granted_.back().target_.str() == "bad";
+        d_->submit(call(++n, 1), at(0s));
+        d_.advance(at(0s));
+        auto const bad = d_.granted_.back().target_.str() == "bad";
         to_bad_late += bad && round >= 20 ? 1 : 0;
         end(n, bad ? call_end::failed : call_end::finished, at(0s));
     }
@@ -280,59 +281,59 @@
 
 TEST(dispatcher, forgets_a_request_that_is_withdrawn)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d->withdraw({1, 1});
-    d->withdraw({1, 1});
-    d.advance(at(0s));
-    CHECK(d.granted_.empty());
-    LONGS_EQUAL(0, d->waiting());
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_->withdraw({1, 1});
+    d_->withdraw({1, 1});
+    d_.advance(at(0s));
+    CHECK(d_.granted_.empty());
+    LONGS_EQUAL(0, d_->waiting());
 }
 
 TEST(dispatcher, counts_running_requests_across_a_change_of_targets)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
-    d->set_targets({}, at(1ms));
-    d->set_targets({target("a", 1)}, at(2ms));
-    d->submit(call(2, 1), at(2ms));
-    d.advance(at(2ms));
-    LONGS_EQUAL(1, d.granted_.size());
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
+    d_->set_targets({}, at(1ms));
+    d_->set_targets({target("a", 1)}, at(2ms));
+    d_->submit(call(2, 1), at(2ms));
+    d_.advance(at(2ms));
+    LONGS_EQUAL(1, d_.granted_.size());
     end(1, call_end::finished, at(3ms));
-    d.advance(at(3ms));
-    LONGS_EQUAL(2, d.granted_.size());
+    d_.advance(at(3ms));
+    LONGS_EQUAL(2, d_.granted_.size());
 }
 
 // A stream whose target pauses is cut if it gives that target up and then
 // finds no place: it broke a promise on a day with planned stops.
 TEST(dispatcher, finds_a_place_for_a_paused_stream_only_if_nobody_waits)
 {
-    d->set_targets({target("a", 1), target("b", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
+    d_->set_targets({target("a", 1), target("b", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
     auto paused = call(1, 1);
-    paused.tried_ = {d.granted_[0].target_};
-    CHECK(d->find_place(paused, at(0s)) != nullptr);
-    d->submit(call(2, 1), at(0s));
-    CHECK(d->find_place(paused, at(0s)) == nullptr);
-    d.advance(at(0s));
-    CHECK(d->find_place(paused, at(0s)) == nullptr);
+    paused.tried_ = {d_.granted_[0].target_};
+    CHECK(d_->find_place(paused, at(0s)) != nullptr);
+    d_->submit(call(2, 1), at(0s));
+    CHECK(d_->find_place(paused, at(0s)) == nullptr);
+    d_.advance(at(0s));
+    CHECK(d_->find_place(paused, at(0s)) == nullptr);
 }
 
 TEST(dispatcher, does_not_refuse_a_begun_stream_for_the_length_of_the_queue)
 {
-    d->set_targets({target("a", 1)}, at(0s));
-    d->submit(call(1, 1), at(0s));
-    d.advance(at(0s));
+    d_->set_targets({target("a", 1)}, at(0s));
+    d_->submit(call(1, 1), at(0s));
+    d_.advance(at(0s));
     end(1, call_end::finished, at(2s));
     for (std::uint64_t n = 2; n <= 30; ++n)
     {
-        d->submit(call(n, 1), at(2s));
+        d_->submit(call(n, 1), at(2s));
     }
     auto begun = call(99, 0);
     begun.begun_ = true;
-    d->submit(begun, at(2s));
-    d.advance(at(2s));
-    CHECK(d.granted_numbers().at(1) == 99);
+    d_->submit(begun, at(2s));
+    d_.advance(at(2s));
+    CHECK(d_.granted_numbers().at(1) == 99);
 }
--- a/tests/routing/target_directory_test.cpp
+++ b/tests/routing/target_directory_test.cpp
@@ -16,66 +16,66 @@
 
 TEST_GROUP(target_directory)
 {
-    target_directory directory;
+    target_directory directory_;
 
     void setup() override
     {
-        directory.on_list({target("a"), target("b")}, at(0s));
+        directory_.on_list({target("a"), target("b")}, at(0s));
     }
 };
 
 TEST(target_directory, drops_a_removed_target_at_once)
 {
-    directory.on_removed(a, at(1s));
-    LONGS_EQUAL(1, directory.targets().size());
+    directory_.on_removed(a, at(1s));
+    LONGS_EQUAL(1, directory_.targets().size());
 }
 
 TEST(target_directory, drops_what_a_new_list_leaves_out)
 {
-    directory.on_list({target("b"), target("c")}, at(1s));
-    LONGS_EQUAL(2, directory.targets().size());
-    STRCMP_EQUAL("b", directory.targets().front().id_.str().c_str());
+    directory_.on_list({target("b"), target("c")}, at(1s));
+    LONGS_EQUAL(2, directory_.targets().size());
+    STRCMP_EQUAL("b", directory_.targets().front().id_.str().c_str());
 }
 
 TEST(target_directory, keeps_entries_that_lapsed_in_an_outage_for_a_while)
 {
-    directory.on_registry_lost();
-    directory.on_registry_back(at(10s));
-    directory.on_list({target("b")}, at(10s));
-    LONGS_EQUAL(2, directory.targets().size());
-    CHECK(!directory.expire(at(11900ms)));
-    CHECK(directory.next_wakeup() == at(12s));
-    CHECK(directory.expire(at(12s)));
-    LONGS_EQUAL(1, directory.targets().size());
+    directory_.on_registry_lost();
+    directory_.on_registry_back(at(10s));
+    directory_.on_list({target("b")}, at(10s));
+    LONGS_EQUAL(2, directory_.targets().size());
+    CHECK(!directory_.expire(at(11900ms)));
+    CHECK(directory_.next_wakeup() == at(12s));
+    CHECK(directory_.expire(at(12s)));
+    LONGS_EQUAL(1, directory_.targets().size());
 }
 
 TEST(target_directory, keeps_an_entry_that_is_back_in_time)
 {
-    directory.on_registry_lost();
-    directory.on_registry_back(at(10s));
-    directory.on_removed(a, at(10s));
-    directory.on_entry(target("a"), at(11s));
-    CHECK(!directory.expire(at(13s)));
-    LONGS_EQUAL(2, directory.targets().size());
+    directory_.on_registry_lost();
+    directory_.on_registry_back(at(10s));
+    directory_.on_removed(a, at(10s));
+    directory_.on_entry(target("a"), at(11s));
+    CHECK(!directory_.expire(at(13s)));
+    LONGS_EQUAL(2, directory_.targets().size());
 }
 
 TEST(target_directory, drops_a_leaving_target_that_lapsed_in_an_outage)
 {
     auto leaving = target("a");
     leaving.draining_ = true;
-    directory.on_entry(leaving, at(1s));
-    directory.on_registry_lost();
-    directory.on_registry_back(at(10s));
-    directory.on_removed(a, at(10s));
-    LONGS_EQUAL(1, directory.targets().size());
+    directory_.on_entry(leaving, at(1s));
+    directory_.on_registry_lost();
+    directory_.on_registry_back(at(10s));
+    directory_.on_removed(a, at(10s));
+    LONGS_EQUAL(1, directory_.targets().size());
 }
 
 TEST(target_directory, keeps_everything_while_the_registry_is_away)
 {
-    directory.on_registry_lost();
-    directory.on_registry_back(at(10s));
-    directory.on_removed(a, at(10s));
-    directory.on_registry_lost();
-    CHECK(!directory.expire(at(20s)));
-    LONGS_EQUAL(2, directory.targets().size());
+    directory_.on_registry_lost();
+    directory_.on_registry_back(at(10s));
+    directory_.on_removed(a, at(10s));
+    directory_.on_registry_lost();
+    CHECK(!directory_.expire(at(20s)));
+    LONGS_EQUAL(2, directory_.targets().size());
 }
