trace: a request's story from the logs of several daemons

Cause: an on-call engineer has only logs, one file a daemon. Ruled out: asking live daemons (explain), which may be gone.

--- a/tools/operator/command.cpp
+++ b/tools/operator/command.cpp
@@ -52,7 +52,8 @@
 std::vector<command> all_commands()
 {
     std::vector<command> all;
-    for (auto const table : {config_commands(), fleet_commands()})
+    for (auto const table :
+         {config_commands(), fleet_commands(), log_commands()})
     {
         all.insert(all.end(), table.begin(), table.end());
     }
--- a/tools/operator/command.hpp
+++ b/tools/operator/command.hpp
@@ -55,6 +55,8 @@
 std::span<command const> config_commands();
 /// `status`, `targets`, `drain`, `undrain`, `explain`.
 std::span<command const> fleet_commands();
+/// `trace`.
+std::span<command const> log_commands();
 /// All of the tables, in the order of the help.
 std::vector<command> all_commands();
 
