--- /dev/null
+++ b/tests/entry/fake_store.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "src/entry/metadata_store.hpp"
+
+#include <deque>
+#include <string>
+
+namespace tanagerlead::test
+{
+
+/// A store whose calls a test answers one by one, in any way.
+class fake_store final : public entry::metadata_store
+{
+public:
+    struct list_call
+    {
+        std::string prefix_;
+        std::string after_;
+        answered<entry::store_page> done_;
+    };
+
+    struct watch_call
+    {
+        std::string prefix_;
+        entry::store_revision after_;
+        answered<entry::store_changes> done_;
+    };
+
+    struct put_call
+    {
+        std::string key_;
+        std::string value_;
+        entry::store_lease lease_;
+        answered<void> done_;
+    };
+
+    void list(std::string const& prefix, std::string const& after, bool,
+              answered<entry::store_page> done) override
+    {
+        lists_.push_back({prefix, after, std::move(done)});
+    }
+    void watch(std::string const& prefix, entry::store_revision after,
+               base::duration, answered<entry::store_changes> done) override
+    {
+        watches_.push_back({prefix, after, std::move(done)});
+    }
+    void grant_lease(base::duration, answered<entry::store_lease> done) override
+    {
+        grants_.push_back(std::move(done));
+    }
+    void renew_lease(entry::store_lease, answered<void> done) override
+    {
+        renewals_.push_back(std::move(done));
+    }
+    void end_lease(entry::store_lease lease, answered<void> done) override
+    {
+        ended_.push_back(lease);
+        done(base::success());
+    }
+    void put(std::string const& key, std::string const& value,
+             entry::store_lease lease, answered<void> done) override
+    {
+        puts_.push_back({key, value, lease, std::move(done)});
+    }
+
+    template <class Call>
+    static Call take(std::deque<Call>& calls)
+    {
+        auto first = std::move(calls.front());
+        calls.pop_front();
+        return first;
+    }
+
+    std::deque<list_call> lists_;
+    std::deque<watch_call> watches_;
+    std::deque<answered<entry::store_lease>> grants_;
+    std::deque<answered<void>> renewals_;
+    std::deque<put_call> puts_;
+    std::deque<entry::store_lease> ended_;
+};
+
+inline base::error store_error(base::error_code code)
+{
+    return {code, "test", "store", ""};
+}
+
+} // namespace tanagerlead::test
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,160 @@
+#include "platform/store_client.hpp"
+#include "tests/entry/scripted_target.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tanagerlead;
+using namespace tanagerlead::platform;
+using tanagerlead::test::answer_step;
+using tanagerlead::test::scripted_target;
+
+namespace
+{
+
+using action = answer_step::action;
+
+std::vector<answer_step> json_answer(int status, std::string const& body)
+{
+    return {{action::send, "HTTP/1.1 " + std::to_string(status) +
+                               " X\r\nContent-Type: application/json\r\n"
+                               "Content-Length: " +
+                               std::to_string(body.size()) + "\r\n\r\n" +
+                               body}};
+}
+
+struct fault_case
+{
+    char const* name_;
+    int status_;
+    char const* body_;
+    base::error_code code_;
+};
+
+constexpr fault_case fault_cases[] = {
+    {"no such key", 404, "{}", base::error_code::not_found},
+    {"history gone", 410, "{}", base::error_code::not_found},
+    {"condition", 412, "{}", base::error_code::conflict},
+    {"too many calls", 429, "", base::error_code::rate_limited},
+    {"busy", 503, "", base::error_code::unavailable},
+    {"unknown status", 500, "", base::error_code::unknown_effect},
+    {"no JSON", 200, "<html>", base::error_code::corrupt},
+    {"a list", 200, "[]", base::error_code::corrupt},
+};
+
+} // namespace
+
+TEST_GROUP(store_client)
+{
+    net::asio::io_context loop_;
+
+    /// Runs one call of a client of `store` and returns its answer.
+    template <class T, class Call>
+    base::result<T> run(scripted_target const& store, Call call)
+    {
+        store_client client{loop_, store.address()};
+        std::optional<base::result<T>> answer;
+        call(client, [&](base::result<T> got) { answer = std::move(got); });
+        while (!answer)
+        {
+            loop_.run_one();
+        }
+        loop_.restart();
+        return std::move(*answer);
+    }
+
+    base::result<entry::store_page> list(scripted_target const& store)
+    {
+        return run<entry::store_page>(
+            store, [](store_client& c, auto done)
+            { c.list("servers/", "servers/a b", true, std::move(done)); });
+    }
+};
+
+TEST(store_client, lists_a_page)
+{
+    scripted_target store{
+        [](std::string const&)
+        {
+            return json_answer(200,
+                               R"({"Items":[{"Key":"servers/c","Value":"aGk=",
+                       "Revision":4,"CreateRevision":2,"Lease":0},
+                       {"Value":"aGk="},7,{"Key":"servers/d","Value":5}],
+                       "HasMore":true,"CurrentRev":530})");
+        }};
+    auto const got = list(store);
+    CHECK(got.has_value());
+    LONGS_EQUAL(2, got.value().items_.size());
+    STRCMP_EQUAL("hi", got.value().items_[0].value_.c_str());
+    CHECK(got.value().has_more_);
+    CHECK(got.value().revision_ == entry::store_revision{530});
+    CHECK(store.requests()[0].starts_with(
+        "GET /v1/kv-range?Prefix=servers/&After=servers/a%20b&AllowStale=1 "));
+}
+
+TEST(store_client, tells_changes_and_removals)
+{
+    scripted_target store{[](std::string const&)
+                          {
+                              return json_answer(200, R"({"events":[
+              {"Key":"a","Value":"aGk=","Revision":412},
+              {"Key":"b","Revision":413,"Deleted":true}],"CurrentRev":413})");
+                          }};
+    auto const got = run<entry::store_changes>(
+        store,
+        [](store_client& c, auto done)
+        {
+            c.watch("x", entry::store_revision{411},
+                    std::chrono::milliseconds{1500}, std::move(done));
+        });
+    LONGS_EQUAL(2, got.value().items_.size());
+    CHECK(got.value().items_[1].removed_);
+    CHECK(store.requests()[0].starts_with(
+        "GET /v1/kv-watch?Prefix=x&After=411&WaitMs=1500 "));
+}
+
+TEST(store_client, writes_under_a_lease)
+{
+    scripted_target store{[](std::string const&)
+                          {
+                              return json_answer(200, R"({"Revision":9})");
+                          }};
+    auto const got = run<void>(
+        store, [](store_client& c, auto done)
+        { c.put("k", "hi", entry::store_lease{7}, std::move(done)); });
+    CHECK(got.has_value());
+    auto const seen = store.requests()[0];
+    CHECK(seen.starts_with("POST /v1/kv-txn "));
+    CHECK(seen.find(R"("Value":"aGk=")") != std::string::npos);
+    CHECK(seen.find(R"("Lease":7)") != std::string::npos);
+}
+
+TEST(store_client, names_each_failure)
+{
+    for (auto const& c : fault_cases)
+    {
+        scripted_target store{[&](std::string const&)
+                              {
+                                  return json_answer(c.status_, c.body_);
+                              }};
+        auto const got = list(store);
+        CHECK_TEXT(!got.has_value(), c.name_);
+        CHECK_TEXT(got.error().code_ == c.code_, c.name_);
+    }
+}
+
+TEST(store_client, does_not_know_the_effect_of_a_call_without_answer)
+{
+    scripted_target store{[](std::string const&) -> std::vector<answer_step>
+                          {
+                              return {{action::reset, ""}};
+                          }};
+    CHECK(list(store).error().code_ == base::error_code::unknown_effect);
+    scripted_target torn{
+        [](std::string const&) -> std::vector<answer_step>
+        {
+            return {{action::send,
+                     "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"},
+                    {action::close, ""}};
+        }};
+    CHECK(list(torn).error().code_ == base::error_code::unknown_effect);
+}
