--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -146,6 +146,7 @@
     configuration_ = std::move(configuration);
     configured_at_ = net::now();
     quotas_.configure(configuration_->workspaces(), configured_at_);
+    dispatcher_.set_pools(configuration_->pools());
     workspaces_.clear();
     for (auto const& w : configuration_->workspaces())
     {
--- a/src/routing/configuration.cpp
+++ b/src/routing/configuration.cpp
@@ -28,9 +28,11 @@
 configuration::configuration(base::config_version version,
                              std::vector<route> routes,
                              std::vector<workspace> workspaces,
-                             caller_limits limits)
+                             caller_limits limits,
+                             std::vector<pool_limits> pools)
     : version_{version}, routes_{std::move(routes)},
-      workspaces_{std::move(workspaces)}, limits_{limits}
+      workspaces_{std::move(workspaces)}, limits_{limits}, pools_{
+                                                               std::move(pools)}
 {
     std::stable_sort(
         routes_.begin(), routes_.end(),
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -33,13 +33,16 @@
 {
 public:
     configuration(base::config_version version, std::vector<route> routes,
-                  std::vector<workspace> workspaces, caller_limits limits);
+                  std::vector<workspace> workspaces, caller_limits limits,
+                  std::vector<pool_limits> pools = {});
 
     base::config_version version() const { return version_; }
     caller_limits const& limits() const { return limits_; }
     std::vector<route> const& routes() const { return routes_; }
     std::vector<workspace> const& workspaces() const { return workspaces_; }
 
+    std::vector<pool_limits> const& pools() const { return pools_; }
+
     /// The route with the longest prefix of `path` at `host`, and the
     /// workspace that holds `key`. `path` may end in a query.
     lookup_result find(std::string_view host, std::string_view path,
@@ -66,6 +69,7 @@
     std::vector<int> route_ranks_;
     std::vector<int> workspace_ranks_;
     caller_limits limits_;
+    std::vector<pool_limits> pools_;
 };
 
 using configuration_ptr = std::shared_ptr<configuration const>;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -46,6 +46,14 @@
 /// Bounds of the advice when to come back.
 constexpr base::duration shortest_retry = 150ms;
 constexpr base::duration longest_retry = 5s;
+/// Weight of the newest request in the mean of tokens.
+constexpr double tokens_gain = 0.05;
+
+base::token_count tokens_of(call_item const& call)
+{
+    return call.work_.prompt_tokens_ + call.work_.most_output_tokens_;
+}
+
 /// Free places can appear without news from a daemon that fell silent.
 constexpr base::duration look_again = 50ms;
 
@@ -84,6 +92,7 @@
             }
         }
         record.own_ = 0;
+        record.own_tokens_ = 0;
         record.info_ = info;
         record.digest_ = digest_of(info.id_.str());
         next.emplace(info.id_, std::move(record));
@@ -95,6 +104,7 @@
         if (there != targets_.end())
         {
             ++there->second.own_;
+            there->second.own_tokens_ += run.tokens_;
         }
     }
     for (auto& [id, p] : pools_)
@@ -107,6 +117,34 @@
     }
 }
 
+void dispatcher::set_pools(std::vector<pool_limits> const& pools)
+{
+    for (auto& [id, p] : pools_)
+    {
+        p.memory_tokens_ = 0;
+    }
+    for (auto const& limits : pools)
+    {
+        pool(limits.pool_).memory_tokens_ = limits.memory_tokens_;
+    }
+}
+
+// A target whose memory runs out stops its newest request and reads it again
+// from the start. One that fits nowhere goes to an empty target, which says
+// what it thinks of it.
+bool dispatcher::has_memory(pool_record const& p, target_record const& t,
+                            int others, call_item const& call)
+{
+    if (p.memory_tokens_ == 0 || t.own_ + others == 0)
+    {
+        return true;
+    }
+    auto const used =
+        static_cast<double>(t.own_tokens_) + others * p.mean_tokens_;
+    return used + static_cast<double>(tokens_of(call)) <=
+           static_cast<double>(p.memory_tokens_);
+}
+
 target_info const* dispatcher::find(base::target_id const& id) const
 {
     auto const found = targets_.find(id);
@@ -202,15 +240,29 @@
     return home;
 }
 
-bool dispatcher::has_target(pool_record const& p, call_item const& call) const
+bool dispatcher::lacks_memory(pool_record const& p, call_item const& call,
+                              base::time_point now) const
 {
     return std::any_of(p.targets_.begin(), p.targets_.end(),
                        [&](target_record const* t)
                        {
+                           return !was_tried(call, *t) &&
+                                  free_places(*t, extra_places(call), now) > 0;
+                       });
+}
+
+bool dispatcher::was_tried(call_item const& call, target_record const& t)
+{
+    return std::find(call.tried_.begin(), call.tried_.end(), t.info_.id_) !=
+           call.tried_.end();
+}
+
+bool dispatcher::has_target(pool_record const& p, call_item const& call) const
+{
+    return std::any_of(p.targets_.begin(), p.targets_.end(),
+                       [&](target_record const* t) {
                            return !t->info_.draining_ && !t->displaced_ &&
-                                  std::find(call.tried_.begin(),
-                                            call.tried_.end(),
-                                            t->info_.id_) == call.tried_.end();
+                                  !was_tried(call, *t);
                        });
 }
 
@@ -224,9 +276,10 @@
     auto lowest = std::numeric_limits<double>::max();
     for (auto* const t : p.targets_)
     {
-        auto const tried = std::find(call.tried_.begin(), call.tried_.end(),
-                                     t->info_.id_) != call.tried_.end();
-        if (tried || free_places(*t, extra_places(call), now) <= 0)
+        auto const others = peers_.in_flight_elsewhere(t->digest_);
+        if (was_tried(call, *t) ||
+            free_places(*t, extra_places(call), now) <= 0 ||
+            !has_memory(p, *t, others, call))
         {
             continue;
         }
@@ -377,13 +430,26 @@
     return target == nullptr ? nullptr : &target->info_;
 }
 
+void dispatcher::take_place(target_record& target, call_item const& call,
+                            base::time_point now)
+{
+    auto& p = pool(call.work_.pool_);
+    auto const tokens = tokens_of(call);
+    p.mean_tokens_ +=
+        tokens_gain * (static_cast<double>(tokens) - p.mean_tokens_);
+    ++target.own_;
+    target.own_tokens_ += tokens;
+    in_flight_.emplace(
+        call.work_.request_,
+        running_call{target.info_.id_, call.work_.pool_, now, tokens});
+}
+
 void dispatcher::place(call_item const& call, base::target_id const& target,
                        base::time_point now)
 {
-    auto const request = call.work_.request_;
-    assert(!waiting_.contains(request) && !in_flight_.contains(request));
-    ++targets_.at(target).own_;
-    in_flight_.emplace(request, running_call{target, call.work_.pool_, now});
+    assert(!waiting_.contains(call.work_.request_) &&
+           !in_flight_.contains(call.work_.request_));
+    take_place(targets_.at(target), call, now);
 }
 
 void dispatcher::withdraw(base::request_id request)
@@ -456,6 +522,10 @@
         }
         auto const request = next->item_.request_;
         auto* const target = choose(p, next->call_, now);
+        if (target == nullptr && lacks_memory(p, next->call_, now))
+        {
+            return;
+        }
         if (target == nullptr)
         {
             // Every free place is at a target that it was sent to.
@@ -465,9 +535,7 @@
         }
         queue_of(p, *next).take(*next);
         auto const w = remove(request);
-        ++target->own_;
-        in_flight_.emplace(
-            request, running_call{target->info_.id_, w->item_.pool_, now});
+        take_place(*target, w->call_, now);
         out.push_back(sched::grant{request, {}, target->info_.id_});
     }
 }
@@ -512,6 +580,7 @@
     {
         auto& t = known->second;
         --t.own_;
+        t.own_tokens_ -= run.tokens_;
         assert(t.own_ >= 0);
         if (end == call_end::not_connected)
         {
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/random.hpp"
 #include "src/routing/peer_board.hpp"
+#include "src/routing/route.hpp"
 #include "src/routing/target_info.hpp"
 #include "src/routing/target_pace.hpp"
 #include "src/sched/expiry_queue.hpp"
@@ -71,6 +72,8 @@
     void set_targets(std::vector<target_info> const& targets,
                      base::time_point now);
 
+    void set_pools(std::vector<pool_limits> const& pools);
+
     void submit(call_item item, base::time_point now);
     /// A target with a free place that nobody waits for; null when there is
     /// none. Takes no place.
@@ -108,6 +111,8 @@
         target_info info_;
         id_digest digest_{};
         int own_ = 0;
+        /// Tokens of the own requests there.
+        base::token_count own_tokens_ = 0;
         /// Its address belongs to another target; until it registers anew.
         bool displaced_ = false;
         target_pace pace_;
@@ -128,6 +133,7 @@
         base::target_id target_;
         base::pool_id pool_;
         base::time_point dispatched_;
+        base::token_count tokens_ = 0;
     };
 
     struct pool_record
@@ -142,6 +148,10 @@
         double booked_ = 0;
         base::time_point booked_at_{};
         std::vector<target_record*> targets_;
+        /// Of one target; zero: not limited.
+        base::token_count memory_tokens_ = 0;
+        /// Mean tokens of a request, to judge what others run.
+        double mean_tokens_ = 0;
         /// Mean time that a request holds a place.
         double place_seconds_ = 0;
     };
@@ -165,8 +175,14 @@
                           base::time_point now);
     double cost(target_record const& t, call_item const& call,
                 double mean) const;
+    static bool has_memory(pool_record const& p, target_record const& t,
+                           int others, call_item const& call);
     static target_record const* home_of(pool_record const& p,
                                         std::uint64_t affinity);
+    static bool was_tried(call_item const& call, target_record const& t);
+    /// It waits for memory at a target that has a free place.
+    bool lacks_memory(pool_record const& p, call_item const& call,
+                      base::time_point now) const;
     bool has_target(pool_record const& p, call_item const& call) const;
     /// Of one more request of that workspace and tier.
     base::duration expected_wait(pool_record const& p,
@@ -175,6 +191,8 @@
     base::duration expected_wait(pool_record const& p, double ahead) const;
     void refuse(base::request_id request, sched::refusal_cause cause,
                 std::vector<sched::action>& out);
+    void take_place(target_record& target, call_item const& call,
+                    base::time_point now);
     std::unique_ptr<waiting_call> remove(base::request_id request);
     base::duration longest_hold(call_item const& call,
                                 base::time_point now) const;
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -78,6 +78,15 @@
     double plain_tokens_ = 1;
 };
 
+/// What the targets of a pool hold.
+struct pool_limits
+{
+    base::pool_id pool_;
+    /// Tokens of prompts and answers in the memory of one target; zero: not
+    /// limited.
+    base::token_count memory_tokens_ = 0;
+};
+
 /// What callers may send.
 struct caller_limits
 {
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -16,7 +16,8 @@
   "WeightedClusters":[{"Service":"s1","Weight":90},
                       {"Service":"s2","Weight":10},
                       {"Service":"s3","Weight":0}]}],
- "Services":[{"Name":"s1"}],
+ "Services":[{"Name":"s1","Engine":{"Slots":6,"KvCapacity":395278}},
+             {"Name":"s2"}],
  "Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":300,
            "IdleTimeoutMs":400},
  "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"Unit":"tokens",
@@ -103,6 +104,8 @@
     DOUBLES_EQUAL(2000, w.burst_, 0);
     DOUBLES_EQUAL(200, w.plain_tokens_, 0);
     LONGS_EQUAL(100, c.limits().head_bytes_);
+    LONGS_EQUAL(395278, c.pools()[0].memory_tokens_);
+    LONGS_EQUAL(0, c.pools()[1].memory_tokens_);
     CHECK(c.limits().idle_time_ == std::chrono::milliseconds{400});
 }
 
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -337,3 +337,32 @@
     d_.advance(at(2s));
     CHECK(d_.granted_numbers().at(1) == 99);
 }
+
+TEST(dispatcher, fills_no_target_beyond_its_memory)
+{
+    d_->set_targets({target("a", 4), target("b", 4)}, at(0s));
+    d_->set_pools({{pool, 1000}});
+    for (std::uint64_t n = 1; n <= 3; ++n)
+    {
+        auto large = call(n, 1);
+        large.work_.prompt_tokens_ = 600;
+        d_->submit(large, at(0s));
+    }
+    d_.advance(at(0s));
+    LONGS_EQUAL(2, d_.granted_.size());
+    CHECK(d_.granted_[0].target_ != d_.granted_[1].target_);
+    end(1, call_end::finished, at(10ms));
+    d_.advance(at(10ms));
+    LONGS_EQUAL(3, d_.granted_.size());
+}
+
+TEST(dispatcher, sends_what_fits_nowhere_to_an_empty_target)
+{
+    d_->set_targets({target("a", 4)}, at(0s));
+    d_->set_pools({{pool, 1000}});
+    auto huge = call(1, 1);
+    huge.work_.prompt_tokens_ = 5000;
+    d_->submit(huge, at(0s));
+    d_.advance(at(0s));
+    LONGS_EQUAL(1, d_.granted_.size());
+}
