--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -52,15 +52,6 @@
     return call_end::failed;
 }
 
-std::string seconds_text(base::duration d)
-{
-    auto const ms = std::max<std::int64_t>(
-        1, static_cast<std::int64_t>(base::milliseconds(d)));
-    auto const rest = std::to_string(ms % 1000);
-    return std::to_string(ms / 1000) + "." + std::string(3 - rest.size(), '0') +
-           rest;
-}
-
 } // namespace
 
 char const* to_string(call_outcome outcome)
@@ -565,7 +556,7 @@
     response.status_ = status;
     if (retry_after)
     {
-        response.headers_.add("Retry-After", seconds_text(*retry_after));
+        net::set_retry_after(response, *retry_after);
     }
     caller_->answer(response);
     finish(status == 503 ? call_outcome::refused : call_outcome::failed, cause);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -25,12 +25,6 @@
 constexpr base::duration retry_when_starting = 300ms;
 constexpr base::duration retry_when_leaving = 50ms;
 constexpr base::duration retry_when_quarantined = 60s;
-/// A target that cannot be reached this soon after a connection broke there
-/// ended with the requests that it ran.
-constexpr base::duration crash_evidence_time = 1500ms;
-constexpr std::size_t most_broken = 256;
-/// A crash is told to the others for this long.
-constexpr base::duration crash_notice_time = 2s;
 /// What a workspace spent is told again for this long.
 constexpr base::duration spent_notice_time = 2s;
 /// A quota may be overspent by what is admitted in this time; far less than
@@ -64,19 +58,6 @@
     return name;
 }
 
-// The same name for own and reported crashes, so that one counts once.
-base::target_id crashed_target(routing::id_digest digest)
-{
-    return base::target_id{std::to_string(static_cast<std::uint32_t>(digest))};
-}
-
-std::string retry_text(base::duration wait)
-{
-    std::array<char, 32> text{};
-    (void)std::snprintf(text.data(), text.size(), "%.3f", base::seconds(wait));
-    return text.data();
-}
-
 } // namespace
 
 traffic::traffic(net::asio::io_context& loop, settings const& s,
@@ -206,7 +187,7 @@
     response.status_ = status;
     if (retry_after)
     {
-        response.headers_.add("Retry-After", retry_text(*retry_after));
+        net::set_retry_after(response, *retry_after);
         line.with_ms("retry_after_ms", *retry_after);
     }
     log_.write(line_kind::request, line, net::now());
@@ -297,7 +278,7 @@
 {
     auto const now = net::now();
     auto const& id = about.marks_.request_id_;
-    if (quarantine_.blocked(about.fingerprint_, now))
+    if (crashes_.blocked(about.fingerprint_, now))
     {
         turn_away(from, 503, "quarantined", id, retry_when_quarantined);
         return false;
@@ -365,7 +346,7 @@
     dispatcher_.on_end(running.about().id_, end, net::now());
     if (end == routing::call_end::finished)
     {
-        quarantine_.on_finished(running.about().fingerprint_, net::now());
+        crashes_.on_finished(running.about().fingerprint_, net::now());
     }
     if (end == routing::call_end::not_connected)
     {
@@ -414,11 +395,7 @@
 // it shows when it is connected to.
 void traffic::on_broken(call& running, base::target_id const& target)
 {
-    if (broken_.size() >= most_broken)
-    {
-        broken_.pop_front();
-    }
-    broken_.push_back({running.about().fingerprint_, target, net::now()});
+    crashes_.on_broken(running.about().fingerprint_, target, net::now());
     auto const* const info = dispatcher_.find(target);
     if (info == nullptr || probing_[target])
     {
@@ -441,40 +418,17 @@
 void traffic::on_target_lost(base::target_id const& target)
 {
     auto const now = net::now();
-    while (!broken_.empty() && now - broken_.front().at_ > crash_evidence_time)
-    {
-        broken_.pop_front();
-    }
-    for (auto const& b : broken_)
-    {
-        if (b.target_ == target)
-        {
-            report_crash(b.fingerprint_, target);
-        }
+    for (auto const fingerprint : crashes_.on_unreachable(target, now))
+    {
+        log_.write(line_kind::target,
+                   log_line{"Target lost with a request."}
+                       .with("target", target.str())
+                       .with("fingerprint",
+                             static_cast<std::int64_t>(fingerprint >> 1U))
+                       .with("blocked", crashes_.blocked(fingerprint, now)),
+                   now);
+        peers_.changed();
     }
-    std::erase_if(broken_,
-                  [&](broken_call const& b) { return b.target_ == target; });
-}
-
-void traffic::report_crash(std::uint64_t fingerprint,
-                           base::target_id const& target)
-{
-    auto const now = net::now();
-    auto const digest = routing::digest_of(target.str());
-    quarantine_.on_target_lost(fingerprint, crashed_target(digest), now);
-    log_.write(
-        line_kind::target,
-        log_line{"Target lost with a request."}
-            .with("target", target.str())
-            .with("fingerprint", static_cast<std::int64_t>(fingerprint >> 1))
-            .with("blocked", quarantine_.blocked(fingerprint, now)),
-        now);
-    if (crashes_.size() >= routing::peer_report::most_crashes)
-    {
-        crashes_.pop_front();
-    }
-    crashes_.push_back({{fingerprint, digest, 0}, now});
-    peers_.changed();
 }
 
 void traffic::wake()
@@ -617,17 +571,7 @@
                 {routing::digest_of(usage.workspace_.str()), usage.units_});
         }
     }
-    while (!crashes_.empty() && now - crashes_.front().at_ > crash_notice_time)
-    {
-        crashes_.pop_front();
-    }
-    for (auto const& crash : crashes_)
-    {
-        auto notice = crash.notice_;
-        notice.age_ms_ =
-            static_cast<std::uint16_t>(base::milliseconds(now - crash.at_));
-        report.crashes_.push_back(notice);
-    }
+    crashes_.fill(report, now);
 }
 
 void traffic::refresh_heard()
@@ -650,9 +594,7 @@
     }
     for (auto const& crash : report.crashes_)
     {
-        quarantine_.on_target_lost(
-            crash.fingerprint_, crashed_target(crash.target_),
-            now - std::chrono::milliseconds{crash.age_ms_});
+        crashes_.on_notice(crash, now);
     }
     auto const own_version =
         configuration_ ? static_cast<std::uint64_t>(configuration_->version())
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -5,11 +5,9 @@
 #include "src/entry/peer_exchange.hpp"
 #include "src/entry/traffic_metrics.hpp"
 #include "src/net/http_listener.hpp"
+#include "src/routing/crash_watch.hpp"
 #include "src/routing/quota_ledger.hpp"
 #include "src/routing/retry_budget.hpp"
-#include "src/sched/quarantine.hpp"
-
-#include <deque>
 
 namespace tanagerlead::entry
 {
@@ -72,20 +70,6 @@
 private:
     using connection_ptr = std::shared_ptr<net::caller_connection>;
 
-    /// A request that was at a target when its connection broke.
-    struct broken_call
-    {
-        std::uint64_t fingerprint_ = 0;
-        base::target_id target_;
-        base::time_point at_;
-    };
-
-    struct told_crash
-    {
-        routing::crash_notice notice_;
-        base::time_point at_;
-    };
-
     void on_request(connection_ptr const& from, net::http_request request);
     void begin_call(connection_ptr const& from, net::http_request request,
                     call_marks marks);
@@ -106,7 +90,6 @@
     void advance();
     void apply(sched::action const& action);
     void on_target_lost(base::target_id const& target);
-    void report_crash(std::uint64_t fingerprint, base::target_id const& target);
     bool is_ready() const;
     routing::daemon_state own_state() const;
     void refresh_heard();
@@ -128,7 +111,7 @@
     routing::dispatcher dispatcher_;
     routing::retry_budget budget_;
     routing::quota_ledger quotas_;
-    sched::quarantine quarantine_;
+    routing::crash_watch crashes_;
     std::map<base::pool_id, routing::pool_latency> latencies_;
     channel_pool channels_;
     traffic_metrics metrics_;
@@ -142,9 +125,6 @@
     base::time_point configured_at_{};
     std::map<routing::id_digest, base::workspace_id> workspaces_;
     std::map<base::request_id, std::shared_ptr<call>> calls_;
-    std::deque<broken_call> broken_;
-    /// Crashes to tell the others, oldest first.
-    std::deque<told_crash> crashes_;
     std::array<base::time_point, 2> spent_told_{};
     std::map<base::target_id, bool> probing_;
 
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -84,12 +84,7 @@
     }
     if (error)
     {
-        auto const left = std::move(left_);
-        close();
-        if (left)
-        {
-            left();
-        }
+        on_peer_gone();
         return;
     }
     if (lingering_)
@@ -106,6 +101,16 @@
     read_more();
 }
 
+void caller_connection::on_peer_gone()
+{
+    auto const left = std::move(left_);
+    close();
+    if (left)
+    {
+        left();
+    }
+}
+
 void caller_connection::parse()
 {
     if (buffer_.size() == 0)
@@ -309,12 +314,7 @@
     }
     if (error)
     {
-        auto const left = std::move(left_);
-        close();
-        if (left)
-        {
-            left();
-        }
+        on_peer_gone();
         return;
     }
     auto const drained = !is_clogged() ? drained_ : nullptr;
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -85,6 +85,7 @@
 
     void read_more();
     void on_read(error_code const& error, std::size_t count);
+    void on_peer_gone();
     void parse();
     bool has_sound_framing() const;
     void take_request();
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace tanagerlead::net
 {
@@ -184,6 +185,14 @@
     return out.append("\r\n").append(bytes).append("\r\n");
 }
 
+void set_retry_after(http_response& response, base::duration wait)
+{
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%.3f",
+                        std::max(0.001, base::seconds(wait)));
+    response.headers_.set("Retry-After", text.data());
+}
+
 char const* reason_for(int status)
 {
     auto const known = boost::beast::http::int_to_status(
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "src/base/units.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,6 +71,9 @@
 std::string to_chunk(std::string_view bytes);
 inline constexpr std::string_view last_chunk = "0\r\n\r\n";
 
+/// When the caller may come back; seconds with three decimals.
+void set_retry_after(http_response& response, base::duration wait);
+
 /// The usual phrase for a status.
 char const* reason_for(int status);
 
--- /dev/null
+++ b/src/routing/crash_watch.cpp
@@ -0,0 +1,96 @@
+#include "src/routing/crash_watch.hpp"
+
+namespace tanagerlead::routing
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A target that cannot be reached this soon after a connection broke there
+/// ended with the requests that it ran.
+constexpr base::duration evidence_time = 1500ms;
+constexpr std::size_t most_broken = 256;
+/// A crash is told to the others for this long.
+constexpr base::duration notice_time = 2s;
+
+// The same name for own and reported crashes, so that one counts once.
+base::target_id crashed_target(id_digest digest)
+{
+    return base::target_id{std::to_string(static_cast<std::uint32_t>(digest))};
+}
+
+} // namespace
+
+void crash_watch::on_broken(std::uint64_t fingerprint,
+                            base::target_id const& target, base::time_point now)
+{
+    if (broken_.size() >= most_broken)
+    {
+        broken_.pop_front();
+    }
+    broken_.push_back({fingerprint, target, now});
+}
+
+std::vector<std::uint64_t>
+crash_watch::on_unreachable(base::target_id const& target, base::time_point now)
+{
+    while (!broken_.empty() && now - broken_.front().at_ > evidence_time)
+    {
+        broken_.pop_front();
+    }
+    std::vector<std::uint64_t> found;
+    auto const digest = digest_of(target.str());
+    for (auto const& b : broken_)
+    {
+        if (b.target_ != target)
+        {
+            continue;
+        }
+        quarantine_.on_target_lost(b.fingerprint_, crashed_target(digest), now);
+        if (crashes_.size() >= peer_report::most_crashes)
+        {
+            crashes_.pop_front();
+        }
+        crashes_.push_back({{b.fingerprint_, digest, 0}, now});
+        found.push_back(b.fingerprint_);
+    }
+    std::erase_if(broken_,
+                  [&](broken_call const& b) { return b.target_ == target; });
+    return found;
+}
+
+void crash_watch::on_finished(std::uint64_t fingerprint, base::time_point now)
+{
+    quarantine_.on_finished(fingerprint, now);
+}
+
+bool crash_watch::blocked(std::uint64_t fingerprint, base::time_point now) const
+{
+    return quarantine_.blocked(fingerprint, now);
+}
+
+void crash_watch::on_notice(crash_notice const& notice, base::time_point now)
+{
+    quarantine_.on_target_lost(notice.fingerprint_,
+                               crashed_target(notice.target_),
+                               now - std::chrono::milliseconds{notice.age_ms_});
+}
+
+void crash_watch::fill(peer_report& report, base::time_point now)
+{
+    while (!crashes_.empty() && now - crashes_.front().at_ > notice_time)
+    {
+        crashes_.pop_front();
+    }
+    for (auto const& crash : crashes_)
+    {
+        auto notice = crash.notice_;
+        notice.age_ms_ =
+            static_cast<std::uint16_t>(base::milliseconds(now - crash.at_));
+        report.crashes_.push_back(notice);
+    }
+}
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/crash_watch.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "src/routing/peer_report.hpp"
+#include "src/sched/quarantine.hpp"
+
+#include <deque>
+#include <vector>
+
+namespace tanagerlead::routing
+{
+
+/// Finds requests that end the targets that run them. A broken connection
+/// alone may be a lost answer: it counts only if the target cannot be reached
+/// right after. What is found is told to the other daemons, and one death that
+/// several of them saw counts once.
+class crash_watch
+{
+public:
+    void on_broken(std::uint64_t fingerprint, base::target_id const& target,
+                   base::time_point now);
+    /// Returns the requests that the target ended with.
+    std::vector<std::uint64_t> on_unreachable(base::target_id const& target,
+                                              base::time_point now);
+    void on_finished(std::uint64_t fingerprint, base::time_point now);
+    bool blocked(std::uint64_t fingerprint, base::time_point now) const;
+
+    void on_notice(crash_notice const& notice, base::time_point now);
+    /// Adds what the others should know.
+    void fill(peer_report& report, base::time_point now);
+
+private:
+    /// A request that was at a target when its connection broke.
+    struct broken_call
+    {
+        std::uint64_t fingerprint_ = 0;
+        base::target_id target_;
+        base::time_point at_;
+    };
+
+    struct told_crash
+    {
+        crash_notice notice_;
+        base::time_point at_;
+    };
+
+    sched::quarantine quarantine_;
+    std::deque<broken_call> broken_;
+    /// Oldest first.
+    std::deque<told_crash> crashes_;
+};
+
+} // namespace tanagerlead::routing
