--- a/src/cell/scheduling_service.hpp
+++ b/src/cell/scheduling_service.hpp
@@ -2,9 +2,9 @@
 
 #include "src/cell/coordinator.hpp"
 #include "src/config/source.hpp"
+#include "src/external/host_list.hpp"
 #include "src/kernel/control_thread.hpp"
 #include "src/peer/messenger.hpp"
-#include "src/external/host_list.hpp"
 #include "src/request/dispatcher.hpp"
 
 #include <atomic>
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -133,7 +133,7 @@
 {
     caller_->on_left([this] { on_caller_left(); });
     deadline_alarm_.set(deadline_);
-    owner_.submit(*this, item());
+    owner_.submit(item());
 }
 
 void call::on_refusal(sched::refusal_cause cause, base::duration retry_after)
@@ -525,7 +525,7 @@
     case attempt_verdict::again_free:
     case attempt_verdict::again:
         state_ = state::waiting;
-        owner_.submit(*this, item());
+        owner_.submit(item());
         return;
     case attempt_verdict::refuse:
         answer_own(503, cause, owner_.retry_after(*this));
@@ -600,11 +600,6 @@
 void call::on_caller_left()
 {
     auto const self = shared_from_this();
-    cut_off();
-}
-
-void call::cut_off()
-{
     if (state_ == state::over)
     {
         return;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -37,7 +37,7 @@
 public:
     virtual ~call_owner() = default;
 
-    virtual void submit(call& waiting, routing::call_item item) = 0;
+    virtual void submit(routing::call_item item) = 0;
     virtual routing::target_info const*
     find_place(routing::call_item const& item) = 0;
     virtual void place(routing::call_item const& item,
@@ -106,8 +106,6 @@
     std::optional<base::time_point> first_piece() const { return first_piece_; }
     base::time_point first_sent() const { return first_sent_; }
     int status() const { return status_; }
-    /// The planned stop ends it.
-    void cut_off();
 
     net::head_verdict on_head(net::http_response const& head) override;
     void on_body(std::string_view bytes) override;
--- a/src/entry/registry_reader.cpp
+++ b/src/entry/registry_reader.cpp
@@ -51,7 +51,7 @@
         auto entry = item.removed_ ? std::nullopt : read(item);
         if (entry)
         {
-            directory_.on_entry(std::move(*entry), now);
+            directory_.on_entry(std::move(*entry));
         }
         else
         {
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -141,7 +141,7 @@
 
 void traffic::on_targets(std::vector<routing::target_info> targets)
 {
-    dispatcher_.set_targets(targets, net::now());
+    dispatcher_.set_targets(targets);
     channels_.set_targets(targets);
     wake();
 }
@@ -317,9 +317,8 @@
     return true;
 }
 
-void traffic::submit(call& waiting, routing::call_item item)
+void traffic::submit(routing::call_item item)
 {
-    (void)waiting;
     dispatcher_.submit(std::move(item), net::now());
     wake();
 }
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -38,7 +38,7 @@
     /// calls `done`, at the latest after the grace period.
     void leave(std::function<void()> done);
 
-    void submit(call& waiting, routing::call_item item) override;
+    void submit(routing::call_item item) override;
     routing::target_info const*
     find_place(routing::call_item const& item) override;
     void place(routing::call_item const& item,
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -74,8 +74,7 @@
     return place->second;
 }
 
-void dispatcher::set_targets(std::vector<target_info> const& targets,
-                             base::time_point)
+void dispatcher::set_targets(std::vector<target_info> const& targets)
 {
     std::map<base::target_id, target_record> next;
     for (auto const& info : targets)
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -69,8 +69,7 @@
     /// `peers` outlives it.
     dispatcher(settings s, peer_board const& peers);
 
-    void set_targets(std::vector<target_info> const& targets,
-                     base::time_point now);
+    void set_targets(std::vector<target_info> const& targets);
 
     void set_pools(std::vector<pool_limits> const& pools);
 
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -3,7 +3,7 @@
 namespace tanagerlead::routing
 {
 
-void target_directory::on_entry(target_info entry, base::time_point)
+void target_directory::on_entry(target_info entry)
 {
     missing_.erase(entry.id_);
     known_.insert_or_assign(entry.id_, std::move(entry));
@@ -43,7 +43,7 @@
     for (auto& entry : entries)
     {
         gone.erase(entry.id_);
-        on_entry(std::move(entry), now);
+        on_entry(std::move(entry));
     }
     for (auto const& id : gone)
     {
--- a/src/routing/target_directory.hpp
+++ b/src/routing/target_directory.hpp
@@ -19,7 +19,7 @@
     /// Targets register again within this time after an outage.
     static constexpr base::duration settle_time = std::chrono::seconds{2};
 
-    void on_entry(target_info entry, base::time_point now);
+    void on_entry(target_info entry);
     void on_removed(base::target_id const& id, base::time_point now);
     /// The whole registry, just read.
     void on_list(std::vector<target_info> entries, base::time_point now);
--- a/tests/config/config_service_test.cpp
+++ b/tests/config/config_service_test.cpp
@@ -1,7 +1,7 @@
 #include "src/config/config_service.hpp"
 #include "src/config/peer_copy.hpp"
-#include "src/kernel/kernel.hpp"
 #include "src/external/etcd_store.hpp"
+#include "src/kernel/kernel.hpp"
 #include "tests/config/sample.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 
--- a/tests/external/etcd_store_test.cpp
+++ b/tests/external/etcd_store_test.cpp
@@ -19,8 +19,7 @@
     std::string bytes;
     for (int length = 0; length < 9; ++length)
     {
-        auto const decoded =
-            base::base64_decode(base::base64_encode(bytes));
+        auto const decoded = base::base64_decode(base::base64_encode(bytes));
         CHECK(decoded == bytes);
         bytes += static_cast<char>(length * 37);
     }
--- a/tests/fakes/config_daemon.hpp
+++ b/tests/fakes/config_daemon.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "src/config/digest.hpp"
+#include "src/external/etcd_store.hpp"
 #include "src/http/config_api.hpp"
 #include "src/http/drain_api.hpp"
 #include "src/http/server.hpp"
 #include "src/http/status_api.hpp"
 #include "src/kernel/kernel.hpp"
-#include "src/external/etcd_store.hpp"
 #include "tests/fakes/fake_key_value.hpp"
 
 #include <future>
--- a/tests/fakes/fake_host_list.hpp
+++ b/tests/fakes/fake_host_list.hpp
@@ -2,8 +2,8 @@
 
 #include "src/base/address.hpp"
 #include "src/base/clock.hpp"
-#include "src/http/server.hpp"
 #include "src/external/host_list.hpp"
+#include "src/http/server.hpp"
 
 #include <memory>
 #include <mutex>
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -38,7 +38,7 @@
 
 TEST(dispatcher, fills_the_places_and_keeps_the_rest_waiting)
 {
-    d_->set_targets({target("a", 2)}, at(0s));
+    d_->set_targets({target("a", 2)});
     for (std::uint64_t n = 1; n <= 3; ++n)
     {
         d_->submit(call(n, 1), at(0s));
@@ -52,7 +52,7 @@
 
 TEST(dispatcher, counts_what_other_daemons_run_at_a_target)
 {
-    d_->set_targets({target("a", 2)}, at(0s));
+    d_->set_targets({target("a", 2)});
     peers_.on_report(peer_ip{2}, others("a", 2), at(0s));
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
@@ -64,7 +64,7 @@
 
 TEST(dispatcher, serves_higher_tiers_first_and_workspaces_in_turn)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1, "large"), at(0s));
     d_.advance(at(0s));
     d_->submit(call(2, 2, "large"), at(0s));
@@ -83,7 +83,7 @@
 
 TEST(dispatcher, leaves_free_places_to_higher_tiers_elsewhere)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     auto r = others("a", 0);
     r.waiting_ = {{digest_of("llm"), 0, 1}};
     peers_.on_report(peer_ip{2}, r, at(0s));
@@ -97,7 +97,7 @@
 
 TEST(dispatcher, does_not_wait_for_a_daemon_that_fell_silent)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     auto r = others("a", 1);
     r.waiting_ = {{digest_of("llm"), 0, 5}};
     peers_.on_report(peer_ip{2}, r, at(0s));
@@ -113,7 +113,7 @@
 
 TEST(dispatcher, lets_an_urgent_request_wait_at_a_full_target)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     auto urgent = call(2, 0);
@@ -126,7 +126,7 @@
 
 TEST(dispatcher, serves_those_on_time_before_late_ones_of_their_tier)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     d_->submit(call(2, 1), at(0s));
@@ -143,7 +143,7 @@
 
 TEST(dispatcher, refuses_what_waited_too_long_with_advice)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_->submit(call(2, 1), at(0s));
     d_.advance(at(0s));
@@ -158,7 +158,7 @@
 
 TEST(dispatcher, leaves_a_refused_caller_time_to_come_back)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     auto brief = call(2, 1);
     brief.work_.deadline_ = at(3s);
@@ -170,7 +170,7 @@
 
 TEST(dispatcher, tells_refused_callers_to_come_back_one_after_the_other)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     end(1, call_end::finished, at(500ms));
@@ -192,7 +192,7 @@
 
 TEST(dispatcher, sends_no_request_to_a_target_twice)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     auto again = call(1, 1);
     again.tried_ = {base::target_id{"a"}};
     d_->submit(again, at(0s));
@@ -205,7 +205,7 @@
 {
     auto leaving = target("a", 4);
     leaving.draining_ = true;
-    d_->set_targets({leaving, target("b", 1, "llm", "far")}, at(0s));
+    d_->set_targets({leaving, target("b", 1, "llm", "far")});
     d_->submit(call(1, 1), at(0s));
     d_->submit(call(2, 1), at(0s));
     d_.advance(at(0s));
@@ -215,7 +215,7 @@
 
 TEST(dispatcher, leaves_a_displaced_target_alone_until_it_registers_anew)
 {
-    d_->set_targets({target("a", 2)}, at(0s));
+    d_->set_targets({target("a", 2)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     end(1, call_end::displaced, at(1ms));
@@ -224,7 +224,7 @@
     LONGS_EQUAL(1, d_.granted_.size());
     auto reborn = target("a", 2);
     reborn.birth_ = target_birth{5};
-    d_->set_targets({reborn}, at(2ms));
+    d_->set_targets({reborn});
     d_->submit(call(3, 1), at(2ms));
     d_.advance(at(2ms));
     LONGS_EQUAL(2, d_.granted_.size());
@@ -232,7 +232,7 @@
 
 TEST(dispatcher, tries_an_unreachable_target_again_with_one_request)
 {
-    d_->set_targets({target("a", 3)}, at(0s));
+    d_->set_targets({target("a", 3)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     end(1, call_end::not_connected, at(1ms));
@@ -249,7 +249,7 @@
 
 TEST(dispatcher, prefers_the_faster_target)
 {
-    d_->set_targets({target("slow", 9), target("fast", 9)}, at(0s));
+    d_->set_targets({target("slow", 9), target("fast", 9)});
     d_->on_pace(base::target_id{"slow"}, 400ms, 10);
     d_->on_pace(base::target_id{"fast"}, 100ms, 10);
     for (std::uint64_t n = 1; n <= 5; ++n)
@@ -265,7 +265,7 @@
 
 TEST(dispatcher, avoids_a_target_whose_answers_fail)
 {
-    d_->set_targets({target("bad", 9), target("good", 9)}, at(0s));
+    d_->set_targets({target("bad", 9), target("good", 9)});
     std::uint64_t n = 0;
     int to_bad_late = 0;
     for (int round = 0; round < 40; ++round)
@@ -281,7 +281,7 @@
 
 TEST(dispatcher, forgets_a_request_that_is_withdrawn)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_->withdraw({1, 1});
     d_->withdraw({1, 1});
@@ -292,11 +292,11 @@
 
 TEST(dispatcher, counts_running_requests_across_a_change_of_targets)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
-    d_->set_targets({}, at(1ms));
-    d_->set_targets({target("a", 1)}, at(2ms));
+    d_->set_targets({});
+    d_->set_targets({target("a", 1)});
     d_->submit(call(2, 1), at(2ms));
     d_.advance(at(2ms));
     LONGS_EQUAL(1, d_.granted_.size());
@@ -309,7 +309,7 @@
 // finds no place: it broke a promise on a day with planned stops.
 TEST(dispatcher, finds_a_place_for_a_paused_stream_only_if_nobody_waits)
 {
-    d_->set_targets({target("a", 1), target("b", 1)}, at(0s));
+    d_->set_targets({target("a", 1), target("b", 1)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     auto paused = call(1, 1);
@@ -323,7 +323,7 @@
 
 TEST(dispatcher, does_not_refuse_a_begun_stream_for_the_length_of_the_queue)
 {
-    d_->set_targets({target("a", 1)}, at(0s));
+    d_->set_targets({target("a", 1)});
     d_->submit(call(1, 1), at(0s));
     d_.advance(at(0s));
     end(1, call_end::finished, at(2s));
@@ -340,7 +340,7 @@
 
 TEST(dispatcher, fills_no_target_beyond_its_memory)
 {
-    d_->set_targets({target("a", 4), target("b", 4)}, at(0s));
+    d_->set_targets({target("a", 4), target("b", 4)});
     d_->set_pools({{pool, 1000}});
     for (std::uint64_t n = 1; n <= 3; ++n)
     {
@@ -358,7 +358,7 @@
 
 TEST(dispatcher, sends_what_fits_nowhere_to_an_empty_target)
 {
-    d_->set_targets({target("a", 4)}, at(0s));
+    d_->set_targets({target("a", 4)});
     d_->set_pools({{pool, 1000}});
     auto huge = call(1, 1);
     huge.work_.prompt_tokens_ = 5000;
--- a/tests/routing/fleet_play.cpp
+++ b/tests/routing/fleet_play.cpp
@@ -20,7 +20,7 @@
     for (auto& d : daemons_)
     {
         d.driver_ = std::make_unique<driver>(d.peers_);
-        (*d.driver_)->set_targets(settings_.targets_, at(0s));
+        (*d.driver_)->set_targets(settings_.targets_);
     }
 }
 
--- a/tests/routing/target_directory_test.cpp
+++ b/tests/routing/target_directory_test.cpp
@@ -54,7 +54,7 @@
     directory_.on_registry_lost();
     directory_.on_registry_back(at(10s));
     directory_.on_removed(a, at(10s));
-    directory_.on_entry(target("a"), at(11s));
+    directory_.on_entry(target("a"));
     CHECK(!directory_.expire(at(13s)));
     LONGS_EQUAL(2, directory_.targets().size());
 }
@@ -63,7 +63,7 @@
 {
     auto leaving = target("a");
     leaving.draining_ = true;
-    directory_.on_entry(leaving, at(1s));
+    directory_.on_entry(leaving);
     directory_.on_registry_lost();
     directory_.on_registry_back(at(10s));
     directory_.on_removed(a, at(10s));
