--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -38,11 +38,12 @@
                          base::entropy()},
       registration_{loop, store, s.daemon_.str(), s.callers_.ip_,
                     std::move(outputs.daemons_)},
-      peers_{loop}, listener_{loop, most_peer_connections,
-                              [this](auto const& from, net::http_request r)
-                              {
-                                  serve_configuration(from, r);
-                              }}
+      peers_{loop}, listener_{
+                        loop, most_peer_connections,
+                        [this](auto const& from, net::http_request const& r)
+                        {
+                            serve_configuration(from, r);
+                        }}
 {
 }
 
--- a/src/entry/daemon_registration.cpp
+++ b/src/entry/daemon_registration.cpp
@@ -69,17 +69,18 @@
                                return;
                            }
                            auto const lease = granted.value();
-                           store_.put(prefix + name_, ip_, lease,
-                                      [this, lease](base::result<void> written)
-                                      {
-                                          // A lease without its key ends by
-                                          // itself.
-                                          if (written)
-                                          {
-                                              lease_ = lease;
-                                          }
-                                          read();
-                                      });
+                           store_.put(
+                               prefix + name_, ip_, lease,
+                               [this, lease](base::result<void> const& written)
+                               {
+                                   // A lease without its key ends by
+                                   // itself.
+                                   if (written)
+                                   {
+                                       lease_ = lease;
+                                   }
+                                   read();
+                               });
                        });
 }
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -71,17 +71,17 @@
           loop,
           static_cast<std::size_t>(caller_descriptors *
                                    static_cast<double>(s.most_descriptors_)),
-          [this](auto const& from, net::http_request r)
+          [this](connection_ptr const& from, net::http_request r)
           {
               on_request(from, std::move(r));
           }},
       health_{loop, most_small_connections,
-              [this](auto const& from, net::http_request r)
+              [this](auto const& from, net::http_request const& r)
               {
                   on_health_request(from, r);
               }},
       directory_{loop, most_small_connections,
-                 [this](auto const& from, net::http_request r)
+                 [this](auto const& from, net::http_request const& r)
                  {
                      on_directory_request(from, r);
                  }},
@@ -139,7 +139,7 @@
     peers_.changed();
 }
 
-void traffic::on_targets(std::vector<routing::target_info> targets)
+void traffic::on_targets(std::vector<routing::target_info> const& targets)
 {
     dispatcher_.set_targets(targets);
     channels_.set_targets(targets);
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -31,7 +31,7 @@
         return directory_.local_address();
     }
     void on_configuration(routing::configuration_ptr configuration);
-    void on_targets(std::vector<routing::target_info> targets);
+    void on_targets(std::vector<routing::target_info> const& targets);
     void on_daemons(std::vector<std::string> const& ips);
 
     /// Planned stop: sends callers elsewhere, finishes what is under way and
