A connecting channel no longer keeps itself

Cause: the address sanitizer found 9,136 bytes left by entry_test: the pool's callback held the channel that holds the callback until it is connected, so a loop that ends meanwhile leaves both. Ruled out: connections of callers (none in the report). Conclusion: the callback holds it weakly; the operation under way keeps it alive.

--- a/src/entry/channel_pool.cpp
+++ b/src/entry/channel_pool.cpp
@@ -44,6 +44,8 @@
                   });
 }
 
+// A channel keeps its callback until it is connected, so the callback must
+// not keep the channel.
 void channel_pool::open(routing::target_info const& target,
                         base::duration most_idle, opened done)
 {
@@ -59,8 +61,9 @@
     }
     auto const fresh = std::make_shared<net::channel>(loop_, target.address_);
     fresh->connect(connect_timeout,
-                   [fresh, done = std::move(done)](net::error_code const& error)
-                   { done(error ? nullptr : fresh, error); });
+                   [weak = std::weak_ptr{fresh},
+                    done = std::move(done)](net::error_code const& error)
+                   { done(error ? nullptr : weak.lock(), error); });
 }
 
 void channel_pool::probe(routing::target_info const& target,
@@ -68,12 +71,12 @@
 {
     auto const fresh = std::make_shared<net::channel>(loop_, target.address_);
     fresh->connect(connect_timeout,
-                   [this, fresh, id = target.id_,
+                   [this, weak = std::weak_ptr{fresh}, id = target.id_,
                     done = std::move(done)](net::error_code const& error)
                    {
                        if (!error)
                        {
-                           keep(id, fresh);
+                           keep(id, weak.lock());
                        }
                        done(!error);
                    });
