--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -32,7 +32,8 @@
     std::string operator_key_hash_;
     /// Shared secret that authenticates messages between daemons.
     std::string peer_secret_;
-    /// Threads for callers; a stream holds one for its whole life.
+    /// Connections of callers at one time. The name is older than the event
+    /// loop, when each held a thread.
     int caller_threads_ = 1024;
     base::log_settings log_;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -80,14 +80,15 @@
     return base::incarnation{static_cast<std::uint64_t>(ms)};
 }
 
-/// Callers' calls served at one time, so that threads are left for refusals
-/// and for operators.
-int open_calls_of(int threads)
+/// Callers' calls served at one time, so that connections are left for
+/// refusals and for operators.
+int open_calls_of(int connections)
 {
     constexpr int reserved_share = 16;
     constexpr int least_reserved = 2;
-    auto const reserved = std::max(threads / reserved_share, least_reserved);
-    return std::max(threads - reserved, 1);
+    auto const reserved =
+        std::max(connections / reserved_share, least_reserved);
+    return std::max(connections - reserved, 1);
 }
 
 } // namespace
@@ -148,7 +149,8 @@
 {
     http::server_settings http;
     http.listen_ = settings_.http_;
-    http.threads_ = settings_.caller_threads_;
+    http.most_connections_ =
+        static_cast<std::size_t>(settings_.caller_threads_);
     server_ = std::make_unique<http::server>(http);
     auto taken = server_->bind();
     if (!taken)
@@ -257,11 +259,11 @@
     make_operator_apis();
     std::vector<daemon_parts::http_service::add_routes> operator_apis;
     operator_apis.push_back(
-        [this](httplib::Server& server)
+        [this](http::router& to)
         {
-            config_api_->add_routes(server);
-            drain_api_->add_routes(server);
-            status_api_->add_routes(server);
+            config_api_->add_routes(to);
+            drain_api_->add_routes(to);
+            status_api_->add_routes(to);
         });
     services_.add(daemon_parts::http_service::service_name,
                   std::make_unique<daemon_parts::http_service>(
--- a/src/daemon/http_service.cpp
+++ b/src/daemon/http_service.cpp
@@ -26,7 +26,7 @@
     callers_ = std::make_unique<http::caller_api>(
         settings_,
         http::caller_api_services{scheduling, scheduling, configuration,
-                                  claims_, clock_, nullptr});
+                                  claims_, clock_, server_->loop()});
     callers_->add_routes(server_->routes());
     for (auto const& add : operator_apis_)
     {
@@ -37,8 +37,8 @@
 
 void http_service::stop()
 {
-    server_->stop();
     callers_->stop();
+    server_->stop();
 }
 
 } // namespace tanagerlead::daemon_parts
--- a/src/daemon/http_service.hpp
+++ b/src/daemon/http_service.hpp
@@ -17,7 +17,7 @@
     static constexpr char const* service_name = "http";
 
     /// Adds the routes of one API before the server starts.
-    using add_routes = std::function<void(httplib::Server&)>;
+    using add_routes = std::function<void(http::router&)>;
 
     /// `bound` has taken its port already.
     http_service(std::unique_ptr<http::server> bound,
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -81,7 +81,7 @@
     request.target_ = configuration_path;
     request.headers_.add("Host", ip);
     peers_.call({ip, settings_.peers_.port_}, "fetch configuration",
-                std::move(request), fetch_timeout,
+                std::move(request), {fetch_timeout},
                 [this, ip](base::result<net::http_response> answer)
                 {
                     fetching_ = false;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -109,6 +109,9 @@
                            .with("peer", from.str())
                            .with("status", status),
                        net::now());
+            net::http_response answer;
+            answer.status_ = status;
+            return answer;
         });
 }
 
--- a/src/external/etcd_watch.cpp
+++ b/src/external/etcd_watch.cpp
@@ -1,16 +1,87 @@
 #include "src/external/etcd_watch.hpp"
 
 #include "src/external/etcd_codec.hpp"
-
-#include <httplib.h>
+#include "src/net/channel.hpp"
 
 namespace tanagerlead::external::etcd
 {
 
 namespace
 {
-constexpr auto stop_interval = std::chrono::milliseconds{20};
-}
+
+constexpr int status_ok = 200;
+
+/// One watch stream on a loop of its own; `run` returns when it has ended.
+class stream final : public net::answer_sink
+{
+public:
+    /// False ends the stream.
+    using receiver = std::function<bool(std::string_view)>;
+
+    stream(net::asio::io_context& loop, base::address const& from,
+           base::duration silence, receiver take)
+        : loop_{loop}, channel_{std::make_shared<net::channel>(loop, from)},
+          longest_silence_{silence}, take_{std::move(take)}, silence_{loop_,
+                                                                      [this]
+                                                                      {
+                                                                          end();
+                                                                      }}
+    {
+    }
+
+    ~stream() override { channel_->close(); }
+    stream(stream const&) = delete;
+    stream& operator=(stream const&) = delete;
+
+    void run(net::http_request const& request, base::duration connect_timeout)
+    {
+        channel_->connect(connect_timeout,
+                          [this, &request](net::error_code const& error)
+                          {
+                              if (error)
+                              {
+                                  end();
+                                  return;
+                              }
+                              silence_.set_after(longest_silence_);
+                              channel_->exchange(request, *this);
+                          });
+        loop_.run();
+    }
+
+private:
+    net::head_verdict on_head(net::http_response const& head) override
+    {
+        return head.status_ == status_ok ? net::head_verdict::accept
+                                         : net::head_verdict::refuse;
+    }
+
+    void on_body(std::string_view bytes) override
+    {
+        silence_.set_after(longest_silence_);
+        if (!take_(bytes))
+        {
+            end();
+        }
+    }
+
+    void on_complete() override { end(); }
+    void on_broken(std::string const& /*detail*/) override { end(); }
+
+    void end()
+    {
+        channel_->close();
+        loop_.stop();
+    }
+
+    net::asio::io_context& loop_;
+    std::shared_ptr<net::channel> channel_;
+    base::duration longest_silence_;
+    receiver take_;
+    net::alarm silence_;
+};
+
+} // namespace
 
 stream_watch::stream_watch(etcd_settings settings, std::string key,
                            listener changed)
@@ -28,14 +99,9 @@
     std::unique_lock lock{mutex_};
     stopping_ = true;
     wake_.notify_all();
-    // A stop that comes before the client has connected is lost, so repeat.
-    while (!finished_)
+    if (loop_ != nullptr)
     {
-        if (client_ != nullptr)
-        {
-            client_->stop();
-        }
-        wake_.wait_for(lock, stop_interval);
+        loop_->stop();
     }
     lock.unlock();
     thread_.join();
@@ -71,41 +137,32 @@
         }
         pause(backoff);
     }
-    std::lock_guard const lock{mutex_};
-    finished_ = true;
-    wake_.notify_all();
 }
 
 bool stream_watch::hold_stream(base::address const& endpoint)
 {
-    httplib::Client client{endpoint.ip_, endpoint.port_};
-    client.set_connection_timeout(settings_.timeouts_.connect_);
-    client.set_read_timeout(settings_.watch_silence_);
-    client.set_tcp_nodelay(true);
-    httplib::Request request;
-    request.method = "POST";
-    request.path = "/v3/watch";
-    request.body = encode_watch(key_);
-    request.set_header("Content-Type", "application/json");
-    request.content_receiver = [this](char const* bytes, std::size_t count,
-                                      std::uint64_t /*offset*/,
-                                      std::uint64_t /*length*/)
-    {
-        return take_bytes({bytes, count});
-    };
+    net::http_request request{"POST", "/v3/watch", {}, encode_watch(key_)};
+    request.headers_.set("Host", endpoint.str());
+    request.headers_.set("Content-Type", "application/json");
     rest_.clear();
     created_ = false;
+    net::asio::io_context loop{1};
     {
         std::lock_guard const lock{mutex_};
         if (stopping_)
         {
             return false;
         }
-        client_ = &client;
+        loop_ = &loop;
     }
-    static_cast<void>(client.send(request));
+    stream held{loop, endpoint, settings_.watch_silence_,
+                [this](std::string_view bytes)
+                {
+                    return take_bytes(bytes);
+                }};
+    held.run(request, settings_.timeouts_.connect_);
     std::lock_guard const lock{mutex_};
-    client_ = nullptr;
+    loop_ = nullptr;
     return created_;
 }
 
--- a/src/external/etcd_watch.hpp
+++ b/src/external/etcd_watch.hpp
@@ -1,17 +1,13 @@
 #pragma once
 
 #include "src/external/etcd_store.hpp"
+#include "src/net/event_loop.hpp"
 
 #include <condition_variable>
 #include <mutex>
 #include <string>
 #include <thread>
 
-namespace httplib
-{
-class Client;
-}
-
 namespace tanagerlead::external::etcd
 {
 
@@ -47,9 +43,8 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
-    bool finished_ = false;
-    /// The client that holds the stream now.
-    httplib::Client* client_ = nullptr;
+    /// The loop that holds the stream now.
+    net::asio::io_context* loop_ = nullptr;
     std::thread thread_;
 };
 
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -1,16 +1,15 @@
 #include "src/http/caller_api.hpp"
 
+#include "src/http/answer_delivery.hpp"
 #include "src/http/answer_writer.hpp"
 #include "src/http/authenticator.hpp"
 #include "src/http/caller_options.hpp"
 #include "src/http/generation_body.hpp"
 #include "src/http/header_names.hpp"
 #include "src/http/request_runner.hpp"
-#include "src/http/server.hpp"
 #include "src/request/issued_key.hpp"
 #include "src/request/prompt_features.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -34,13 +33,11 @@
     service_unavailable = 503,
 };
 
-/// Between looks at whether a waiting caller is still there.
-constexpr base::duration hang_up_poll = std::chrono::milliseconds{250};
 /// A call of a plain service counts as so many tokens.
 constexpr base::token_count service_call_tokens = 1;
 
 void refuse_input(int code, char const* word, char const* step,
-                  std::string detail, httplib::Response& response)
+                  std::string detail, http_reply& response)
 {
     write_error(
         code, word,
@@ -79,7 +76,7 @@
 public:
     impl(caller_api_settings settings, caller_api_services const& services);
 
-    void add_routes(httplib::Server& server);
+    void add_routes(router& to);
     void begin_drain() { draining_ = true; }
     bool wait_until_idle(base::duration longest);
     void stop() { runner_.stop(); }
@@ -87,10 +84,8 @@
     std::size_t in_flight() const { return runner_.in_flight(); }
 
 private:
-    using request_t = httplib::Request;
-    using response_t = httplib::Response;
-    using handler = void (impl::*)(authenticated const&, request_t const&,
-                                   response_t&);
+    using handler = void (impl::*)(authenticated const&, http_call const&,
+                                   http_reply&);
 
     /// A request read, checked and ready to be run.
     struct draft
@@ -105,35 +100,35 @@
         bool model_ = false;
     };
 
-    httplib::Server::Handler with_workspace(handler method);
-    void chat(authenticated const& caller, request_t const& request,
-              response_t& response);
-    void completion(authenticated const& caller, request_t const& request,
-                    response_t& response);
+    router::handler with_workspace(handler method);
+    void chat(authenticated const& caller, http_call const& request,
+              http_reply& response);
+    void completion(authenticated const& caller, http_call const& request,
+                    http_reply& response);
     void generate(generation_kind kind, authenticated const& caller,
-                  request_t const& request, response_t& response);
-    void service(authenticated const& caller, request_t const& request,
-                 response_t& response);
-    void find_request(authenticated const& caller, request_t const& request,
-                      response_t& response);
-    void entries(authenticated const& caller, request_t const& request,
-                 response_t& response);
-    void ready(request_t const& request, response_t& response);
+                  http_call const& request, http_reply& response);
+    void service(authenticated const& caller, http_call const& request,
+                 http_reply& response);
+    void find_request(authenticated const& caller, http_call const& request,
+                      http_reply& response);
+    void entries(authenticated const& caller, http_call const& request,
+                 http_reply& response);
+    void ready(http_call const& request, http_reply& response);
 
     bool may_use(authenticated const& caller, base::pool_id const& pool,
-                 config::pool_kind kind, response_t& response) const;
+                 config::pool_kind kind, http_reply& response) const;
     void run(authenticated const& caller, draft&& what,
-             caller_options const& options, request_t const& request,
-             response_t& response);
+             caller_options const& options, http_call const& request,
+             http_reply& response);
     std::shared_ptr<runnable> make_runnable(authenticated const& caller,
                                             draft&& what,
                                             caller_options const& options,
-                                            request_t const& request);
+                                            http_call const& request);
     std::optional<base::duration> grace_of(draft const& what,
                                            caller_options const& options) const;
     void submit(std::shared_ptr<runnable> const& work);
     void deliver(std::shared_ptr<reading> const& reader,
-                 std::uint64_t last_event, response_t& response);
+                 std::uint64_t last_event, http_reply& response);
     std::shared_ptr<reading> read(request::record_ptr const& record);
     std::vector<request::entry_address>
     other_entries(request::request_identity const& identity) const;
@@ -152,24 +147,25 @@
 
 caller_api::impl::impl(caller_api_settings settings,
                        caller_api_services const& services)
-    : settings_{std::move(settings)}, use_{services}, table_{settings_.memory_,
-                                                             use_.clock_},
+    : settings_{std::move(settings)}, use_{services},
+      own_targets_{use_.loop_}, table_{settings_.memory_, use_.clock_},
       metrics_{settings_.most_metric_workspaces_},
       authenticator_{use_.configuration_},
       runner_{{settings_.origin_, settings_.seed_, settings_.target_,
                settings_.most_connect_tries_, settings_.most_issued_keys_},
-              {use_.dispatcher_, use_.entries_, use_.claims_, use_.clock_,
+              {use_.loop_, use_.dispatcher_, use_.entries_, use_.claims_,
+               use_.clock_,
                use_.targets_ != nullptr ? *use_.targets_ : own_targets_, table_,
                metrics_}}
 {
 }
 
-httplib::Server::Handler caller_api::impl::with_workspace(handler method)
+router::handler caller_api::impl::with_workspace(handler method)
 {
-    return [this, method](request_t const& request, response_t& response)
+    return [this, method](http_call const& request, http_reply& response)
     {
         auto const caller =
-            authenticator_.find(request.get_header_value("Authorization"));
+            authenticator_.find(request.header("Authorization"));
         if (caller.workspace_ == nullptr)
         {
             response.set_header("WWW-Authenticate", "Bearer");
@@ -181,49 +177,49 @@
     };
 }
 
-void caller_api::impl::add_routes(httplib::Server& server)
+void caller_api::impl::add_routes(router& to)
 {
-    server.Post("/v1/chat/completions", with_workspace(&impl::chat));
-    server.Post("/v1/completions", with_workspace(&impl::completion));
-    auto const* services = "/v1/services/([^/]+)(?:/.*)?";
+    to.add("POST", "/v1/chat/completions", with_workspace(&impl::chat));
+    to.add("POST", "/v1/completions", with_workspace(&impl::completion));
     auto const to_service = with_workspace(&impl::service);
-    server.Get(services, to_service);
-    server.Post(services, to_service);
-    server.Put(services, to_service);
-    server.Patch(services, to_service);
-    server.Delete(services, to_service);
+    for (auto const* method : {"GET", "POST", "PUT", "PATCH", "DELETE"})
+    {
+        to.add(method, "/v1/services/{}/**", to_service);
+    }
     auto const find = with_workspace(&impl::find_request);
-    server.Get("/v1/requests/([^/]+)", find);
-    server.Get("/v1/requests/([^/]+)/stream", find);
-    server.Get("/v1/entries", with_workspace(&impl::entries));
-    server.Get("/metrics",
-               [this](request_t const& /*request*/, response_t& response)
-               {
-                   auto const more = use_.more_metrics_;
-                   response.set_content(metrics_.text() +
-                                            (more ? more() : std::string{}),
-                                        "text/plain; version=0.0.4");
-               });
-    server.Get("/healthz", [](request_t const&, response_t& response)
-               { response.set_content("ok\n", "text/plain"); });
-    server.Get("/readyz", [this](request_t const& request, response_t& response)
-               { ready(request, response); });
+    to.add("GET", "/v1/requests/{}", find);
+    to.add("GET", "/v1/requests/{}/stream", find);
+    to.add("GET", "/v1/entries", with_workspace(&impl::entries));
+    to.add("GET", "/metrics",
+           [this](http_call const& /*request*/, http_reply& response)
+           {
+               auto const more = use_.more_metrics_;
+               response.set_content(metrics_.text() +
+                                        (more ? more() : std::string{}),
+                                    "text/plain; version=0.0.4");
+           });
+    to.add("GET", "/healthz",
+           [](http_call const& /*request*/, http_reply& response)
+           { response.set_content("ok\n", "text/plain"); });
+    to.add("GET", "/readyz",
+           [this](http_call const& request, http_reply& response)
+           { ready(request, response); });
 }
 
-void caller_api::impl::ready(request_t const& /*request*/, response_t& response)
+void caller_api::impl::ready(http_call const& /*request*/, http_reply& response)
 {
     auto const is_ready = !draining_ && use_.entries_.accepts_work();
-    response.status = is_ready ? status::ok : status::service_unavailable;
+    response.set_status(is_ready ? status::ok : status::service_unavailable);
     response.set_content(is_ready ? "ready\n" : "not ready\n", "text/plain");
 }
 
 void caller_api::impl::entries(authenticated const& caller,
-                               request_t const& request, response_t& response)
+                               http_call const& request, http_reply& response)
 {
     std::vector<base::pool_id> pools;
-    if (request.has_param("model"))
+    if (auto const model = request.parameter("model"))
     {
-        pools.emplace_back(request.get_param_value("model"));
+        pools.emplace_back(*model);
     }
     else
     {
@@ -249,24 +245,23 @@
 }
 
 void caller_api::impl::chat(authenticated const& caller,
-                            request_t const& request, response_t& response)
+                            http_call const& request, http_reply& response)
 {
     generate(generation_kind::chat, caller, request, response);
 }
 
 void caller_api::impl::completion(authenticated const& caller,
-                                  request_t const& request,
-                                  response_t& response)
+                                  http_call const& request,
+                                  http_reply& response)
 {
     generate(generation_kind::completion, caller, request, response);
 }
 
 void caller_api::impl::generate(generation_kind kind,
                                 authenticated const& caller,
-                                request_t const& request, response_t& response)
+                                http_call const& request, http_reply& response)
 {
-    if (!request.get_header_value("Content-Type")
-             .starts_with("application/json"))
+    if (!request.header("Content-Type").starts_with("application/json"))
     {
         refuse_input(status::unsupported_media_type, "content_type",
                      "read request", "Content-Type: must be application/json",
@@ -280,7 +275,7 @@
                     response);
         return;
     }
-    auto body = parse_generation(request.body, kind);
+    auto body = parse_generation(request.body_, kind);
     if (!body)
     {
         write_error(status::bad_request, "bad_body", body.error(), response);
@@ -293,33 +288,33 @@
     }
     draft what;
     what.pool_ = body.value().model_;
-    what.sameness_ = path_of(kind) + request.body;
+    what.sameness_ = path_of(kind) + request.body_;
     what.features_ = request::extract_features(body.value().prompt_);
     what.most_output_tokens_ = body.value().most_output_tokens_;
-    what.call_ = {"POST", path_of(kind), {}, "application/json", request.body};
+    what.call_ = {"POST", path_of(kind), {}, "application/json", request.body_};
     what.stream_ = body.value().stream_;
     what.model_ = true;
     run(caller, std::move(what), options.value(), request, response);
 }
 
 void caller_api::impl::service(authenticated const& caller,
-                               request_t const& request, response_t& response)
+                               http_call const& request, http_reply& response)
 {
-    if (request.is_multipart_form_data())
+    if (request.header("Content-Type").starts_with("multipart/form-data"))
     {
         refuse_input(status::unsupported_media_type, "content_type",
                      "read request", "Content-Type: multipart is not supported",
                      response);
         return;
     }
-    auto const options = read_options(request, !is_read_only(request.method));
+    auto const options = read_options(request, !is_read_only(request.method_));
     if (!options)
     {
         write_error(status::bad_request, "bad_header", options.error(),
                     response);
         return;
     }
-    base::pool_id const pool{request.matches[1].str()};
+    base::pool_id const pool{request.captures_.front()};
     if (!may_use(caller, pool, config::pool_kind::service, response))
     {
         return;
@@ -328,18 +323,18 @@
     what.pool_ = pool;
     what.features_.tokens_ = service_call_tokens;
     what.most_output_tokens_ = service_call_tokens;
-    auto const path = service_path(request.target);
-    what.sameness_ = request.method + ' ' + path + '\n' + request.body;
-    what.call_ = {request.method,
+    auto const path = service_path(request.target_);
+    what.sameness_ = request.method_ + ' ' + path + '\n' + request.body_;
+    what.call_ = {request.method_,
                   path,
                   {},
-                  request.get_header_value("Content-Type"),
-                  request.body};
-    for (auto const& [name, value] : request.headers)
+                  request.header("Content-Type"),
+                  request.body_};
+    for (auto const& field : request.headers_)
     {
-        if (passes_to_target(name))
+        if (passes_to_target(field.name_))
         {
-            what.call_.headers_.push_back({name, value});
+            what.call_.headers_.add(field.name_, field.value_);
         }
     }
     run(caller, std::move(what), options.value(), request, response);
@@ -348,7 +343,7 @@
 bool caller_api::impl::may_use(authenticated const& caller,
                                base::pool_id const& pool,
                                config::pool_kind kind,
-                               response_t& response) const
+                               http_reply& response) const
 {
     auto const& known = caller.configuration_->pools_;
     auto const exists =
@@ -388,7 +383,7 @@
 std::shared_ptr<runnable>
 caller_api::impl::make_runnable(authenticated const& caller, draft&& what,
                                 caller_options const& options,
-                                request_t const& request)
+                                http_call const& request)
 {
     auto const now = use_.clock_.now();
     request::request_identity identity;
@@ -416,15 +411,15 @@
     {
         work->item_.deadline_ = now + *options.deadline_;
     }
-    work->bearer_ = bearer_key(request.get_header_value("Authorization"));
+    work->bearer_ = bearer_key(request.header("Authorization"));
     work->forwarded_ = options.forwarded_;
-    work->caller_path_ = request.target;
+    work->caller_path_ = request.target_;
     auto& job = work->job_;
     job.stream_ = what.stream_;
     job.model_ = what.model_;
     job.grace_ = grace_of(what, options);
     job.call_ = std::move(what.call_);
-    job.call_.headers_.push_back({"X-Request-Id", identity.id_.str()});
+    job.call_.headers_.add("X-Request-Id", identity.id_.str());
     job.record_ = std::make_shared<request::request_record>(
         std::move(identity), use_.clock_, settings_.most_answer_bytes_);
     return work;
@@ -432,7 +427,7 @@
 
 void caller_api::impl::run(authenticated const& caller, draft&& what,
                            caller_options const& options,
-                           request_t const& request, response_t& response)
+                           http_call const& request, http_reply& response)
 {
     auto const work = make_runnable(caller, std::move(what), options, request);
     auto const& wanted = work->job_.record_;
@@ -504,38 +499,15 @@
 }
 
 void caller_api::impl::deliver(std::shared_ptr<reading> const& reader,
-                               std::uint64_t last_event, response_t& response)
+                               std::uint64_t last_event, http_reply& response)
 {
-    auto const& record = reader->record();
-    auto const& answer = record.answer();
-    while (!answer.wait_for_head(hang_up_poll))
-    {
-        if (server::caller_is_gone())
+    response.deliver_by(
+        [this, reader, last_event](http_reply::connection_ptr const& to)
         {
-            return;
-        }
-    }
-    auto const head = answer.head();
-    if (head && head->stream_)
-    {
-        write_stream(reader, last_event, response);
-        return;
-    }
-    while (!answer.wait_for_end(hang_up_poll))
-    {
-        if (server::caller_is_gone())
-        {
-            return;
-        }
-    }
-    auto const end = *answer.end();
-    if (end.outcome_ == request::outcome::complete)
-    {
-        write_content(record, response);
-        return;
-    }
-    write_end(record.identity(), end, other_entries(record.identity()),
-              response);
+            answer_delivery::begin(use_.loop_, to, reader, last_event,
+                                   [this](auto const& identity)
+                                   { return other_entries(identity); });
+        });
 }
 
 std::vector<request::entry_address>
@@ -549,8 +521,8 @@
 }
 
 void caller_api::impl::find_request(authenticated const& caller,
-                                    request_t const& request,
-                                    response_t& response)
+                                    http_call const& request,
+                                    http_reply& response)
 {
     auto const options = read_options(request, false);
     if (!options)
@@ -560,7 +532,7 @@
         return;
     }
     base::request_id id;
-    auto const record = base::parse_request_id(request.matches[1].str(), id)
+    auto const record = base::parse_request_id(request.captures_.front(), id)
                             ? table_.find(id, caller.workspace_->id_)
                             : nullptr;
     if (!record)
@@ -598,9 +570,9 @@
 
 caller_api::~caller_api() = default;
 
-void caller_api::add_routes(httplib::Server& server)
+void caller_api::add_routes(router& to)
 {
-    impl_->add_routes(server);
+    impl_->add_routes(to);
 }
 
 void caller_api::begin_drain()
--- a/src/http/caller_api.hpp
+++ b/src/http/caller_api.hpp
@@ -3,6 +3,7 @@
 #include "src/base/clock.hpp"
 #include "src/base/ids.hpp"
 #include "src/config/source.hpp"
+#include "src/http/router.hpp"
 #include "src/http/target_connection.hpp"
 #include "src/request/claim_store.hpp"
 #include "src/request/dispatcher.hpp"
@@ -12,11 +13,6 @@
 #include <memory>
 #include <string>
 
-namespace httplib
-{
-class Server;
-}
-
 namespace tanagerlead::http
 {
 
@@ -39,7 +35,7 @@
     /// Grants in vain before a request is given up.
     int most_connect_tries_ = 4;
     /// Calls served at one time; past it the lowest tier is refused. Less than
-    /// the server's threads, so that a refusal still finds one.
+    /// the server's connections, so that a refusal still finds one.
     int most_open_calls_ = 960;
     /// Keys with the own prefix remembered without the claim store.
     std::size_t most_issued_keys_ = 200'000;
@@ -55,6 +51,8 @@
     config::source& configuration_;
     request::claim_store& claims_;
     base::clock const& clock_;
+    /// The server's; runs until after `caller_api::stop`.
+    boost::asio::io_context& loop_;
     /// Null: HTTP over TCP.
     target_connection* targets_ = nullptr;
     /// Prometheus text of other parts, added to `/metrics`; may be empty.
@@ -62,24 +60,25 @@
 };
 
 /// Serves callers: reads requests, has them scheduled, runs them on targets
-/// and delivers the answers. Any thread.
+/// and delivers the answers. The routes run on the server's loop; the rest may
+/// be called by any other thread.
 class caller_api
 {
 public:
     caller_api(caller_api_settings settings,
                caller_api_services const& services);
-    /// `stop` must have been called, and the server must be down.
+    /// `stop` must have been called, and the server must have stopped.
     ~caller_api();
 
     /// Before the server starts.
-    void add_routes(httplib::Server& server);
+    void add_routes(router& to);
 
     /// From now on new work is refused as `draining`. What is in flight goes
     /// on.
     void begin_drain();
     /// True when nothing is waiting, running or being delivered.
     bool wait_until_idle(base::duration longest);
-    /// Ends the threads that talk to targets, cutting what still runs.
+    /// Refuses what waits and cuts what still runs.
     void stop();
 
     /// Prometheus text of the requests alone.
--- a/src/http/caller_options.cpp
+++ b/src/http/caller_options.cpp
@@ -1,7 +1,6 @@
 #include "src/http/caller_options.hpp"
 
 #include <boost/outcome/try.hpp>
-#include <httplib.h>
 
 #include <algorithm>
 #include <charconv>
@@ -41,14 +40,14 @@
                        [](char c) { return c > ' ' && c <= '~'; });
 }
 
-base::result<bool> read_mark(httplib::Request const& request, bool otherwise)
+base::result<bool> read_mark(http_call const& request, bool otherwise)
 {
     auto const* name = "X-Non-Idempotent";
     if (!request.has_header(name))
     {
         return otherwise;
     }
-    auto const value = request.get_header_value(name);
+    auto const value = request.header(name);
     if (value != "true" && value != "false")
     {
         return invalid("X-Non-Idempotent: must be true or false");
@@ -56,9 +55,9 @@
     return value == "true";
 }
 
-base::result<std::string> read_key(httplib::Request const& request)
+base::result<std::string> read_key(http_call const& request)
 {
-    auto const key = request.get_header_value("Idempotency-Key");
+    auto const key = request.header("Idempotency-Key");
     if (key.size() > most_key_bytes || !is_printable(key))
     {
         return invalid("Idempotency-Key: at most 255 printable characters "
@@ -68,15 +67,14 @@
 }
 
 base::result<std::optional<base::duration>>
-read_deadline(httplib::Request const& request)
+read_deadline(http_call const& request)
 {
     auto const* name = "X-Deadline-Ms";
     if (!request.has_header(name))
     {
         return std::optional<base::duration>{};
     }
-    auto const value =
-        parse_number<std::int64_t>(request.get_header_value(name));
+    auto const value = parse_number<std::int64_t>(request.header(name));
     if (!value || *value > most_deadline_ms)
     {
         return invalid("X-Deadline-Ms: milliseconds from now, at most " +
@@ -86,15 +84,14 @@
         std::chrono::milliseconds{std::max<std::int64_t>(*value, 0)}};
 }
 
-base::result<std::uint64_t> read_last_event(httplib::Request const& request)
+base::result<std::uint64_t> read_last_event(http_call const& request)
 {
     auto const* name = "Last-Event-ID";
     if (!request.has_header(name))
     {
         return std::uint64_t{0};
     }
-    auto const value =
-        parse_number<std::uint64_t>(request.get_header_value(name));
+    auto const value = parse_number<std::uint64_t>(request.header(name));
     if (!value)
     {
         return invalid("Last-Event-ID: must be a number");
@@ -104,7 +101,7 @@
 
 } // namespace
 
-base::result<caller_options> read_options(httplib::Request const& request,
+base::result<caller_options> read_options(http_call const& request,
                                           bool non_idempotent_by_default)
 {
     caller_options options;
--- a/src/http/caller_options.hpp
+++ b/src/http/caller_options.hpp
@@ -2,15 +2,11 @@
 
 #include "src/base/error.hpp"
 #include "src/base/units.hpp"
+#include "src/http/call.hpp"
 
 #include <optional>
 #include <string>
 
-namespace httplib
-{
-struct Request;
-}
-
 namespace tanagerlead::http
 {
 
@@ -29,7 +25,7 @@
 };
 
 /// Errors: `invalid_argument`, whose detail names the header.
-base::result<caller_options> read_options(httplib::Request const& request,
+base::result<caller_options> read_options(http_call const& request,
                                           bool non_idempotent_by_default);
 
 /// Marks a request that one daemon sends to another.
--- a/src/http/config_api.cpp
+++ b/src/http/config_api.cpp
@@ -4,7 +4,6 @@
 #include "src/http/operator_answer.hpp"
 
 #include <boost/outcome/try.hpp>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -147,8 +146,7 @@
     std::vector<config::field_error> errors_;
 };
 
-void answer_submitted(httplib::Response& out,
-                      config::submit_answer const& submitted)
+void answer_submitted(http_reply& out, config::submit_answer const& submitted)
 {
     switch (submitted.status_)
     {
@@ -182,28 +180,32 @@
 {
 }
 
-void config_api::add_routes(httplib::Server& server)
+void config_api::add_routes(router& to)
 {
-    using member =
-        void (config_api::*)(httplib::Request const&, httplib::Response&);
+    using member = void (config_api::*)(http_call const&, http_reply&);
     auto const bind = [this](member serve)
     {
         return guard_.protect([this, serve](auto const& in, auto& out)
                               { (this->*serve)(in, out); });
     };
-    server.Get("/operator/v1/config", bind(&config_api::get));
-    server.Get("/operator/v1/config/history", bind(&config_api::history));
-    server.Get("/operator/v1/config/in-force", bind(&config_api::in_force));
-    server.Post("/operator/v1/config/validate", bind(&config_api::validate));
-    server.Post("/operator/v1/config/patch", bind(&config_api::patch));
+    to.add("GET", "/operator/v1/config", bind(&config_api::get),
+           runs_on::worker);
+    to.add("GET", "/operator/v1/config/history", bind(&config_api::history),
+           runs_on::worker);
+    to.add("GET", "/operator/v1/config/in-force", bind(&config_api::in_force),
+           runs_on::worker);
+    to.add("POST", "/operator/v1/config/validate", bind(&config_api::validate),
+           runs_on::worker);
+    to.add("POST", "/operator/v1/config/patch", bind(&config_api::patch),
+           runs_on::worker);
 }
 
-void config_api::get(httplib::Request const& in, httplib::Response& out)
+void config_api::get(http_call const& in, http_reply& out)
 {
     auto wanted = service_.current();
-    if (in.has_param("version"))
+    if (auto const asked = in.parameter("version"))
     {
-        auto const version = parse_version(in.get_param_value("version"));
+        auto const version = parse_version(*asked);
         if (!version)
         {
             answer_operator_error(out, version.error());
@@ -222,9 +224,9 @@
                      {"configuration", config::write_configuration(*wanted)}});
 }
 
-void config_api::validate(httplib::Request const& in, httplib::Response& out)
+void config_api::validate(http_call const& in, http_reply& out)
 {
-    patch_body body{in.body};
+    patch_body body{in.body_};
     if (!body.errors().empty())
     {
         answer_invalid(out, body.errors());
@@ -258,9 +260,9 @@
                                           *base, checked.configuration_))}});
 }
 
-void config_api::patch(httplib::Request const& in, httplib::Response& out)
+void config_api::patch(http_call const& in, http_reply& out)
 {
-    patch_body body{in.body};
+    patch_body body{in.body_};
     config::patch_request request;
     if (body.errors().empty())
     {
@@ -286,7 +288,7 @@
     answer_submitted(out, submitted.value());
 }
 
-void config_api::history(httplib::Request const& /*in*/, httplib::Response& out)
+void config_api::history(http_call const& /*in*/, http_reply& out)
 {
     auto const heads = service_.store().history();
     if (!heads)
@@ -303,8 +305,7 @@
     answer_operator(out, {{"versions", versions}});
 }
 
-void config_api::in_force(httplib::Request const& /*in*/,
-                          httplib::Response& out)
+void config_api::in_force(http_call const& /*in*/, http_reply& out)
 {
     auto daemons = json::array();
     auto const own = number(service_.in_force());
--- a/src/http/config_api.hpp
+++ b/src/http/config_api.hpp
@@ -7,11 +7,6 @@
 #include <string>
 #include <vector>
 
-namespace httplib
-{
-class Server;
-}
-
 namespace tanagerlead::http
 {
 
@@ -37,14 +32,14 @@
     config_api(config::config_service& service, operator_guard guard,
                version_reader versions);
 
-    void add_routes(httplib::Server& server);
+    void add_routes(router& to);
 
 private:
-    void get(httplib::Request const& in, httplib::Response& out);
-    void validate(httplib::Request const& in, httplib::Response& out);
-    void patch(httplib::Request const& in, httplib::Response& out);
-    void history(httplib::Request const& in, httplib::Response& out);
-    void in_force(httplib::Request const& in, httplib::Response& out);
+    void get(http_call const& in, http_reply& out);
+    void validate(http_call const& in, http_reply& out);
+    void patch(http_call const& in, http_reply& out);
+    void history(http_call const& in, http_reply& out);
+    void in_force(http_call const& in, http_reply& out);
 
     config::config_service& service_;
     operator_guard guard_;
--- a/src/http/drain_api.cpp
+++ b/src/http/drain_api.cpp
@@ -5,7 +5,6 @@
 #include "src/http/operator_answer.hpp"
 
 #include <boost/outcome/try.hpp>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -97,17 +96,18 @@
 
 } // namespace
 
-void drain_api::add_routes(httplib::Server& server)
+void drain_api::add_routes(router& to)
 {
-    server.Post(
-        "/operator/v1/drain",
-        guard_.protect([this](auto const& in, auto& out) { drain(in, out); }));
+    to.add(
+        "POST", "/operator/v1/drain",
+        guard_.protect([this](auto const& in, auto& out) { drain(in, out); }),
+        runs_on::worker);
 }
 
-void drain_api::drain(httplib::Request const& in, httplib::Response& out)
+void drain_api::drain(http_call const& in, http_reply& out)
 {
     std::vector<config::field_error> errors;
-    auto const order = read_order(in.body, errors);
+    auto const order = read_order(in.body_, errors);
     if (!errors.empty())
     {
         answer_invalid(out, errors);
--- a/src/http/drain_api.hpp
+++ b/src/http/drain_api.hpp
@@ -3,11 +3,6 @@
 #include "src/config/config_service.hpp"
 #include "src/http/operator_guard.hpp"
 
-namespace httplib
-{
-class Server;
-}
-
 namespace tanagerlead::http
 {
 
@@ -23,10 +18,10 @@
     {
     }
 
-    void add_routes(httplib::Server& server);
+    void add_routes(router& to);
 
 private:
-    void drain(httplib::Request const& in, httplib::Response& out);
+    void drain(http_call const& in, http_reply& out);
     /// Conflicts are resolved on the newer version.
     base::result<config::submit_answer> submit(base::target_id const& target,
                                                bool draining);
--- a/src/http/header_names.cpp
+++ b/src/http/header_names.cpp
@@ -1,5 +1,7 @@
 #include "src/http/header_names.hpp"
 
+#include "src/net/http_message.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -11,7 +13,7 @@
 
 constexpr std::string_view own_prefix = "x-tanagerlead-";
 
-/// Of one connection, or set anew by the library for each.
+/// Of one connection, or set anew for each.
 constexpr std::array of_connection{
     std::string_view{"connection"},
     std::string_view{"content-length"},
@@ -19,12 +21,8 @@
     std::string_view{"expect"},
     std::string_view{"host"},
     std::string_view{"keep-alive"},
-    std::string_view{"local_addr"},
-    std::string_view{"local_port"},
     std::string_view{"proxy-authenticate"},
     std::string_view{"proxy-authorization"},
-    std::string_view{"remote_addr"},
-    std::string_view{"remote_port"},
     std::string_view{"te"},
     std::string_view{"trailer"},
     std::string_view{"transfer-encoding"},
@@ -40,14 +38,9 @@
     std::string_view{"x-non-idempotent"},
 };
 
-char lower(char c)
-{
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 bool starts_with_own_prefix(std::string_view name)
 {
-    return equal_names(name.substr(0, own_prefix.size()), own_prefix);
+    return net::same_name(name.substr(0, own_prefix.size()), own_prefix);
 }
 
 template <class Names>
@@ -55,17 +48,11 @@
 {
     return std::any_of(names.begin(), names.end(),
                        [name](std::string_view each)
-                       { return equal_names(each, name); });
+                       { return net::same_name(each, name); });
 }
 
 } // namespace
 
-bool equal_names(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                      [](char x, char y) { return lower(x) == lower(y); });
-}
-
 bool passes_to_target(std::string_view name)
 {
     return passes_to_caller(name) && !contains(of_caller, name);
--- a/src/http/header_names.hpp
+++ b/src/http/header_names.hpp
@@ -5,9 +5,6 @@
 namespace tanagerlead::http
 {
 
-/// Case does not matter.
-bool equal_names(std::string_view a, std::string_view b);
-
 /// Whether a plain service gets this header of a caller.
 bool passes_to_target(std::string_view name);
 
--- a/src/http/operator_answer.cpp
+++ b/src/http/operator_answer.cpp
@@ -1,6 +1,5 @@
 #include "src/http/operator_answer.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace tanagerlead::http
@@ -8,9 +7,9 @@
 
 using nlohmann::json;
 
-void answer_operator(httplib::Response& out, json const& body, int status)
+void answer_operator(http_reply& out, json const& body, int status)
 {
-    out.status = status;
+    out.set_status(status);
     out.set_content(body.dump(-1, ' ', false, json::error_handler_t::replace),
                     "application/json");
 }
@@ -26,7 +25,7 @@
     return out;
 }
 
-void answer_invalid(httplib::Response& out,
+void answer_invalid(http_reply& out,
                     std::vector<config::field_error> const& errors)
 {
     answer_operator(out,
--- a/src/http/operator_guard.cpp
+++ b/src/http/operator_guard.cpp
@@ -2,7 +2,6 @@
 
 #include "src/config/digest.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace tanagerlead::http
@@ -54,9 +53,9 @@
 
 } // namespace
 
-void answer_operator_error(httplib::Response& out, base::error const& error)
+void answer_operator_error(http_reply& out, base::error const& error)
 {
-    out.status = status_of(error.code_);
+    out.set_status(status_of(error.code_));
     nlohmann::json const body{{"error",
                                {{"code", base::to_string(error.code_)},
                                 {"message", error.detail_},
@@ -67,9 +66,9 @@
         "application/json");
 }
 
-bool operator_guard::allows(httplib::Request const& request) const
+bool operator_guard::allows(http_call const& request) const
 {
-    auto const given = request.get_header_value("Authorization");
+    auto const given = request.header("Authorization");
     if (key_hash_.empty() || !given.starts_with(bearer))
     {
         return false;
@@ -80,8 +79,8 @@
 
 operator_guard::handler operator_guard::protect(handler inner) const
 {
-    return [guard = *this, inner = std::move(inner)](httplib::Request const& in,
-                                                     httplib::Response& out)
+    return [guard = *this, inner = std::move(inner)](http_call const& in,
+                                                     http_reply& out)
     {
         if (guard.allows(in))
         {
@@ -97,7 +96,7 @@
                                     why});
         if (!in.has_header("Authorization"))
         {
-            out.status = status_unauthorized;
+            out.set_status(status_unauthorized);
         }
     };
 }
--- a/src/http/operator_guard.hpp
+++ b/src/http/operator_guard.hpp
@@ -1,16 +1,11 @@
 #pragma once
 
 #include "src/base/error.hpp"
+#include "src/http/router.hpp"
 
 #include <functional>
 #include <string>
 
-namespace httplib
-{
-struct Request;
-struct Response;
-} // namespace httplib
-
 /// HTTP adapters of the daemon.
 namespace tanagerlead::http
 {
@@ -20,8 +15,7 @@
 class operator_guard
 {
 public:
-    using handler =
-        std::function<void(httplib::Request const&, httplib::Response&)>;
+    using handler = router::handler;
 
     /// An empty hash lets nobody pass.
     explicit operator_guard(std::string key_hash)
@@ -29,7 +23,7 @@
     {
     }
 
-    bool allows(httplib::Request const& request) const;
+    bool allows(http_call const& request) const;
 
     /// `inner`, or status 401 or 403. The guard is copied.
     handler protect(handler inner) const;
@@ -39,6 +33,6 @@
 };
 
 /// `{"error":{"code","message","step","peer"}}` and the status that fits.
-void answer_operator_error(httplib::Response& out, base::error const& error);
+void answer_operator_error(http_reply& out, base::error const& error);
 
 } // namespace tanagerlead::http
--- a/src/http/peer_run.cpp
+++ b/src/http/peer_run.cpp
@@ -46,15 +46,25 @@
 {
 }
 
-void peer_run::run()
+void peer_run::start(ended done)
 {
+    done_ = std::move(done);
     // The peer may let the request wait in its queue.
     connection_limits const limits{limits_.connect_, limits_.answer_silence_};
-    auto const end = connection_.exchange(peer_, make_call(), limits, *this);
+    exchange_ = connection_.begin(peer_, make_call(), limits, *this);
+}
+
+void peer_run::stop()
+{
+    if (exchange_)
     {
-        std::lock_guard const lock{stop_mutex_};
-        stopper_ = nullptr;
+        exchange_->stop();
     }
+}
+
+void peer_run::on_end(exchange_end end)
+{
+    exchange_.reset();
     if (end == exchange_end::not_sent)
     {
         end_unknown("the daemon that holds the key cannot be reached");
@@ -67,48 +77,24 @@
     {
         end_by_peer();
     }
-}
-
-void peer_run::stop()
-{
-    std::lock_guard const lock{stop_mutex_};
-    stopping_ = true;
-    if (stopper_ != nullptr)
-    {
-        stopper_->stop();
-    }
-}
-
-void peer_run::on_connected(exchange_stopper& stopper)
-{
-    std::lock_guard const lock{stop_mutex_};
-    stopper_ = &stopper;
-    if (stopping_)
-    {
-        stopper.stop();
-    }
+    done_(true);
 }
 
 target_call peer_run::make_call() const
 {
     auto call = work_.job_.call_;
     call.path_ = work_.caller_path_;
-    std::erase_if(call.headers_,
-                  [](header_field const& field)
-                  {
-                      return equal_names(field.name_, "X-Request-Id") ||
-                             equal_names(field.name_, "Idempotency-Key");
-                  });
-    call.headers_.push_back({"Authorization", "Bearer " + work_.bearer_});
-    call.headers_.push_back({"Idempotency-Key", record_.identity().key_});
-    call.headers_.push_back({"X-Non-Idempotent", "true"});
-    call.headers_.push_back({forwarded_header, "true"});
+    auto& headers = call.headers_;
+    headers.remove("X-Request-Id");
+    headers.set("Idempotency-Key", record_.identity().key_);
+    headers.add("Authorization", "Bearer " + work_.bearer_);
+    headers.add("X-Non-Idempotent", "true");
+    headers.add(forwarded_header, "true");
     if (work_.item_.deadline_ != base::time_point::max())
     {
         auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
             work_.item_.deadline_ - clock_.now());
-        call.headers_.push_back(
-            {"X-Deadline-Ms", std::to_string(left.count())});
+        headers.add("X-Deadline-Ms", std::to_string(left.count()));
     }
     return call;
 }
@@ -174,7 +160,7 @@
         {}};
     std::copy_if(head_->headers_.begin(), head_->headers_.end(),
                  std::back_inserter(answer.headers_),
-                 [](header_field const& field)
+                 [](net::header_field const& field)
                  { return passes_to_caller(field.name_); });
     record_.answer().begin(std::move(answer));
 }
--- a/src/http/peer_run.hpp
+++ b/src/http/peer_run.hpp
@@ -3,7 +3,6 @@
 #include "src/http/runnable.hpp"
 #include "src/http/target_connection.hpp"
 
-#include <mutex>
 #include <optional>
 #include <string>
 
@@ -11,7 +10,7 @@
 {
 
 /// Has another daemon answer a request that only that one may run, and passes
-/// its answer on.
+/// its answer on. On the loop.
 class peer_run final : public active_run, private target_listener
 {
 public:
@@ -19,17 +18,16 @@
              base::clock const& clock, runnable const& work,
              base::address peer);
 
-    /// Blocks until the request has ended. Called once.
-    void run();
-
+    void start(ended done) override;
     void stop() override;
     /// Does nothing: what runs at most once is not cancelled half way.
     void stop_if_abandoned() override {}
 
 private:
-    void on_connected(exchange_stopper& stopper) override;
+    bool on_connected() override { return true; }
     bool on_head(target_head const& head) override;
     bool on_bytes(std::string_view bytes) override;
+    void on_end(exchange_end end) override;
 
     target_call make_call() const;
     bool take_event(request::sse_event event);
@@ -51,10 +49,8 @@
     std::uint64_t events_ = 0;
     /// As the peer says at the end of a stream, or in a header.
     std::string outcome_;
-
-    std::mutex stop_mutex_;
-    exchange_stopper* stopper_ = nullptr;
-    bool stopping_ = false;
+    ended done_;
+    std::unique_ptr<target_exchange> exchange_;
 };
 
 } // namespace tanagerlead::http
--- a/src/http/request_runner.cpp
+++ b/src/http/request_runner.cpp
@@ -4,6 +4,8 @@
 #include "src/http/refusal.hpp"
 #include "src/request/issued_key.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <tuple>
 #include <vector>
@@ -16,7 +18,9 @@
 
 constexpr int conflict = 409;
 constexpr int unprocessable = 422;
-constexpr std::size_t most_target_threads = 4096;
+/// A write to the store takes all claims that wait, so a few threads suffice:
+/// 32 claims in 50 ms are 640 a second.
+constexpr std::size_t claim_threads = 32;
 constexpr base::duration typical_retry = std::chrono::seconds{1};
 
 request::answer_end key_reused()
@@ -46,7 +50,7 @@
 request_runner::request_runner(runner_settings const& settings,
                                runner_services const& services)
     : settings_{settings}, use_{services}, advice_{settings.seed_},
-      issued_keys_{settings.most_issued_keys_}, workers_{most_target_threads}
+      issued_keys_{settings.most_issued_keys_}, claim_workers_{claim_threads}
 {
 }
 
@@ -73,14 +77,19 @@
     auto const issuer = request::issuer_of(identity.key_);
     if (identity.non_idempotent_ && issuer && issuer != settings_.origin_)
     {
-        workers_.post(
-            [this, work, issuer]
-            {
-                if (work->job_.record_->begin_connect())
-                {
-                    ask_holder(work, *issuer);
-                }
-            });
+        auto& record = *work->job_.record_;
+        if (!begin_work())
+        {
+            record.end(refused(sched::refusal_cause::draining, usual_retry()));
+        }
+        else if (record.begin_connect())
+        {
+            ask_holder(work, *issuer);
+        }
+        else
+        {
+            end_work();
+        }
         return;
     }
     work->job_.record_->queue();
@@ -128,56 +137,114 @@
             refused(no->cause_, no->retry_after_));
         return;
     }
-    workers_.post([this, work, to = std::get<request::dispatch_to>(decision)]
-                  { run_granted(work, to); });
+    if (!begin_work())
+    {
+        refuse_waiting(work, sched::refusal_cause::draining);
+        return;
+    }
+    net::asio::post(use_.loop_,
+                    [this, work, to = std::get<request::dispatch_to>(decision)]
+                    { run_granted(work, to); });
+}
+
+bool request_runner::begin_work()
+{
+    std::lock_guard const lock{mutex_};
+    if (stopping_)
+    {
+        return false;
+    }
+    ++at_work_;
+    return true;
+}
+
+void request_runner::end_work()
+{
+    std::lock_guard const lock{mutex_};
+    --at_work_;
+    ended_.notify_all();
+}
+
+bool request_runner::is_stopping() const
+{
+    std::lock_guard const lock{mutex_};
+    return stopping_;
 }
 
 void request_runner::run_granted(std::shared_ptr<runnable> const& work,
                                  request::dispatch_to const& to)
 {
-    auto& record = *work->job_.record_;
-    auto const id = record.identity().id_;
-    auto const right =
-        record.begin_connect() ? may_run(*work) : permission::denied;
-    if (right != permission::granted)
+    if (!work->job_.record_->begin_connect())
     {
-        use_.dispatcher_.report(
-            {id, to.target_, sched::dispatch_event::declined, {}, 0, 0});
+        decline(*work, to);
+        end_work();
+        return;
     }
-    if (right == permission::elsewhere)
+    may_run(work, [this, work, to](permission right)
+            { on_permission(work, to, right); });
+}
+
+void request_runner::on_permission(std::shared_ptr<runnable> const& work,
+                                   request::dispatch_to const& to,
+                                   permission right)
+{
+    switch (right)
     {
+    case permission::granted:
+        start_run(work, std::make_shared<target_run>(
+                            target_run_services{use_.loop_, use_.targets_,
+                                                use_.dispatcher_, use_.metrics_,
+                                                use_.clock_, settings_.target_},
+                            work->job_, to));
+        return;
+    case permission::elsewhere:
+        decline(*work, to);
         ask_holder(work, work->foreign_holder_);
-    }
-    if (right != permission::granted)
-    {
+        return;
+    case permission::denied:
+        decline(*work, to);
+        end_work();
         return;
     }
-    target_run run{{use_.targets_, use_.dispatcher_, use_.metrics_, use_.clock_,
-                    settings_.target_},
-                   work->job_,
-                   to};
-    bool ended = false;
-    run_known(id, run, [&] { ended = run.run(); });
-    if (!ended)
+}
+
+void request_runner::decline(runnable const& work,
+                             request::dispatch_to const& to)
+{
+    use_.dispatcher_.report({work.job_.record_->identity().id_,
+                             to.target_,
+                             sched::dispatch_event::declined,
+                             {},
+                             0,
+                             0});
+}
+
+void request_runner::start_run(std::shared_ptr<runnable> const& work,
+                               std::shared_ptr<active_run> const& run)
+{
+    runs_[work->job_.record_->identity().id_] = run;
+    run->start(
+        [this, work](bool request_ended)
+        {
+            // The run may be in the middle of a call.
+            net::asio::post(use_.loop_, [this, work, request_ended]
+                            { on_run_ended(work, request_ended); });
+        });
+    if (is_stopping())
     {
-        not_sent(work);
+        run->stop();
     }
 }
 
-void request_runner::run_known(base::request_id id, active_run& run,
-                               std::function<void()> const& work)
+void request_runner::on_run_ended(std::shared_ptr<runnable> const& work,
+                                  bool request_ended)
 {
+    runs_.erase(work->job_.record_->identity().id_);
+    if (!request_ended)
     {
-        std::lock_guard const lock{mutex_};
-        runs_[id] = &run;
-        if (stopping_)
-        {
-            run.stop();
-        }
+        not_sent(work);
     }
-    work();
-    std::lock_guard const lock{mutex_};
-    runs_.erase(id);
+    end_work();
 }
 
 void request_runner::ask_holder(std::shared_ptr<runnable> const& work,
@@ -191,10 +258,11 @@
     {
         record.end(key_unknown(address.str(),
                                "the daemon that was given the key is gone"));
+        end_work();
         return;
     }
-    peer_run run{use_.targets_, settings_.target_, use_.clock_, *work, address};
-    run_known(record.identity().id_, run, [&] { run.run(); });
+    start_run(work, std::make_shared<peer_run>(use_.targets_, settings_.target_,
+                                               use_.clock_, *work, address));
 }
 
 void request_runner::not_sent(std::shared_ptr<runnable> const& work)
@@ -204,6 +272,15 @@
     {
         return;
     }
+    if (is_stopping())
+    {
+        refuse_waiting(work, sched::refusal_cause::draining);
+        return;
+    }
+    if (record.withdraw_if_unread())
+    {
+        return;
+    }
     ++work->connect_tries_;
     if (work->connect_tries_ < settings_.most_connect_tries_)
     {
@@ -265,7 +342,6 @@
         use_.dispatcher_.withdraw(id);
         return;
     }
-    std::lock_guard const lock{mutex_};
     auto const found = runs_.find(id);
     if (found != runs_.end())
     {
@@ -290,32 +366,55 @@
     decltype(live_) left;
     {
         std::lock_guard const lock{mutex_};
-        stopping_ = true;
-        left = live_;
-        for (auto const& [id, run] : runs_)
+        if (stopping_)
         {
-            run->stop();
+            return;
         }
+        stopping_ = true;
+        left = live_;
     }
     for (auto const& [id, work] : left)
     {
         refuse_waiting(work, sched::refusal_cause::draining);
     }
-    workers_.stop();
+    std::unique_lock lock{mutex_};
+    if (at_work_ > 0)
+    {
+        ++at_work_;
+        net::asio::post(use_.loop_,
+                        [this]
+                        {
+                            for (auto const& [id, run] : runs_)
+                            {
+                                run->stop();
+                            }
+                            end_work();
+                        });
+        ended_.wait(lock, [this] { return at_work_ == 0; });
+    }
+    lock.unlock();
+    claim_workers_.stop();
 }
 
-request_runner::permission request_runner::may_run(runnable& work)
+void request_runner::may_run(std::shared_ptr<runnable> const& work,
+                             permitted const& done)
 {
-    auto const& identity = work.job_.record_->identity();
-    if (!identity.non_idempotent_ || work.right_ != run_right::none)
+    auto const& identity = work->job_.record_->identity();
+    if (!identity.non_idempotent_ || work->right_ != run_right::none)
     {
-        return permission::granted;
+        done(permission::granted);
+        return;
     }
-    auto const issuer = request::issuer_of(identity.key_);
-    return issuer == settings_.origin_ ? use_issued_key(work) : use_claim(work);
+    if (request::issuer_of(identity.key_) == settings_.origin_)
+    {
+        use_issued_key(work, done);
+        return;
+    }
+    use_claim(work, done);
 }
 
-request_runner::permission request_runner::use_issued_key(runnable& work)
+void request_runner::use_issued_key(std::shared_ptr<runnable> const& work,
+                                    permitted const& done)
 {
     // A key with the own prefix is run by this life of this daemon alone, so
     // its memory decides, without a write to the store. That is safe for as
@@ -323,30 +422,47 @@
     // is no room for another key, it falls back to a claim, and no further
     // key can be issued. Once this life has ended, every daemon answers
     // `unknown` for the key.
-    auto const& identity = work.job_.record_->identity();
+    auto const& identity = work->job_.record_->identity();
     switch (issued_keys_.insert(identity.workspace_, identity.key_))
     {
     case request::key_set::insertion::added:
-        work.right_ = run_right::issued_key;
-        return permission::granted;
+        work->right_ = run_right::issued_key;
+        done(permission::granted);
+        return;
     case request::key_set::insertion::present:
-        return deny(work, key_unknown({}, "the key was used, and its answer "
-                                          "is no longer remembered"));
+        done(deny(*work, key_unknown({}, "the key was used, and its answer "
+                                         "is no longer remembered")));
+        return;
     case request::key_set::insertion::full:
-        return use_claim(work);
+        use_claim(work, done);
+        return;
     }
-    return permission::denied;
 }
 
-request_runner::permission request_runner::use_claim(runnable& work)
+void request_runner::use_claim(std::shared_ptr<runnable> const& work,
+                               permitted const& done)
 {
     // Claimed after the grant: a claim outlives a refusal, and under overload
     // most refusals come before a grant. The target's slot waits meanwhile,
     // for some milliseconds.
+    claim_workers_.post(
+        [this, work, done]
+        {
+            auto const& identity = work->job_.record_->identity();
+            auto held =
+                use_.claims_.acquire({identity.workspace_, identity.key_,
+                                      identity.id_, identity.fingerprint_});
+            net::asio::post(use_.loop_,
+                            [this, work, done, held = std::move(held)]
+                            { done(judge_claim(*work, held)); });
+        });
+}
+
+request_runner::permission
+request_runner::judge_claim(runnable& work,
+                            base::result<request::claim> const& held)
+{
     auto const& identity = work.job_.record_->identity();
-    auto const& key = identity.key_;
-    auto const held = use_.claims_.acquire(
-        {identity.workspace_, key, identity.id_, identity.fingerprint_});
     if (!held)
     {
         // The claim may have been written; nobody else will run it then.
--- a/src/http/request_runner.hpp
+++ b/src/http/request_runner.hpp
@@ -30,6 +30,7 @@
 /// What the runner works with; all must outlive it.
 struct runner_services
 {
+    net::asio::io_context& loop_;
     request::dispatcher& dispatcher_;
     request::entry_directory& entries_;
     request::claim_store& claims_;
@@ -39,7 +40,8 @@
     request::metrics& metrics_;
 };
 
-/// Takes requests from their submission to their end. Any thread.
+/// Takes requests from their submission to their end. Requests start and their
+/// readers leave on the loop; the rest may be called by any thread.
 class request_runner
 {
 public:
@@ -68,7 +70,8 @@
     /// Requests that have not ended.
     std::size_t in_flight() const;
     bool wait_until_idle(base::duration longest);
-    /// Refuses what waits and cuts what still runs.
+    /// Refuses what waits and cuts what still runs. Not on the loop, which
+    /// must still be running.
     void stop();
 
 private:
@@ -82,26 +85,41 @@
         elsewhere,
     };
 
+    using permitted = std::function<void(permission)>;
+
+    /// False once the runner stops; else `end_work` follows.
+    bool begin_work();
+    void end_work();
+    bool is_stopping() const;
+
     void watch(std::shared_ptr<runnable> const& work);
     void on_end(runnable const& work, request::answer_end const& end);
     void decided(std::shared_ptr<runnable> const& work,
                  request::decision const& decision);
     void run_granted(std::shared_ptr<runnable> const& work,
                      request::dispatch_to const& to);
+    void on_permission(std::shared_ptr<runnable> const& work,
+                       request::dispatch_to const& to, permission right);
+    void decline(runnable const& work, request::dispatch_to const& to);
     bool refuse_waiting(std::shared_ptr<runnable> const& work,
                         sched::refusal_cause cause);
+    void start_run(std::shared_ptr<runnable> const& work,
+                   std::shared_ptr<active_run> const& run);
+    void on_run_ended(std::shared_ptr<runnable> const& work,
+                      bool request_ended);
     void not_sent(std::shared_ptr<runnable> const& work);
     /// Has the daemon that may run the request answer it.
     void ask_holder(std::shared_ptr<runnable> const& work,
                     std::uint64_t origin);
-    /// The record, as long as `work` is done, is known to `stop`.
-    void run_known(base::request_id id, active_run& run,
-                   std::function<void()> const& work);
-
-    permission may_run(runnable& work);
-    permission use_issued_key(runnable& work);
-    permission use_claim(runnable& work);
-    permission deny(runnable& work, request::answer_end how);
+
+    void may_run(std::shared_ptr<runnable> const& work, permitted const& done);
+    void use_issued_key(std::shared_ptr<runnable> const& work,
+                        permitted const& done);
+    void use_claim(std::shared_ptr<runnable> const& work,
+                   permitted const& done);
+    permission judge_claim(runnable& work,
+                           base::result<request::claim> const& held);
+    static permission deny(runnable& work, request::answer_end how);
     bool take_unused_claim(base::request_id holder);
     /// After the proof that it was not run: a repeat may.
     void give_back_key(runnable const& work);
@@ -119,10 +137,14 @@
     mutable std::mutex mutex_;
     std::condition_variable ended_;
     std::unordered_map<base::request_id, std::shared_ptr<runnable>> live_;
-    std::unordered_map<base::request_id, active_run*> runs_;
+    /// Granted requests whose use of the grant has not ended.
+    std::size_t at_work_ = 0;
     bool stopping_ = false;
 
-    worker_pool workers_;
+    /// The loop's own.
+    std::unordered_map<base::request_id, std::shared_ptr<active_run>> runs_;
+    /// Claims wait for the store.
+    worker_pool claim_workers_;
 };
 
 } // namespace tanagerlead::http
--- a/src/http/status_api.cpp
+++ b/src/http/status_api.cpp
@@ -2,7 +2,6 @@
 
 #include "src/http/operator_answer.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace tanagerlead::http
@@ -112,26 +111,28 @@
 
 } // namespace
 
-void status_api::add_routes(httplib::Server& server)
+void status_api::add_routes(router& to)
 {
-    using member =
-        void (status_api::*)(httplib::Request const&, httplib::Response&);
+    using member = void (status_api::*)(http_call const&, http_reply&);
     auto const bind = [this](member serve)
     {
         return guard_.protect([this, serve](auto const& in, auto& out)
                               { (this->*serve)(in, out); });
     };
-    server.Get("/operator/v1/status", bind(&status_api::status));
-    server.Get("/operator/v1/targets", bind(&status_api::targets));
-    server.Get("/operator/v1/explain/([^/]+)", bind(&status_api::explain));
+    to.add("GET", "/operator/v1/status", bind(&status_api::status),
+           runs_on::worker);
+    to.add("GET", "/operator/v1/targets", bind(&status_api::targets),
+           runs_on::worker);
+    to.add("GET", "/operator/v1/explain/{}", bind(&status_api::explain),
+           runs_on::worker);
 }
 
-void status_api::status(httplib::Request const& /*in*/, httplib::Response& out)
+void status_api::status(http_call const& /*in*/, http_reply& out)
 {
     answer_operator(out, write_status(readers_.status_()));
 }
 
-void status_api::targets(httplib::Request const& /*in*/, httplib::Response& out)
+void status_api::targets(http_call const& /*in*/, http_reply& out)
 {
     auto targets = json::array();
     for (auto const& target : readers_.targets_())
@@ -141,10 +142,10 @@
     answer_operator(out, {{"targets", targets}});
 }
 
-void status_api::explain(httplib::Request const& in, httplib::Response& out)
+void status_api::explain(http_call const& in, http_reply& out)
 {
     base::request_id id;
-    if (!base::parse_request_id(in.matches[1].str(), id))
+    if (!base::parse_request_id(in.captures_.front(), id))
     {
         answer_operator_error(out, {base::error_code::invalid_argument,
                                     "read request id",
--- a/src/http/status_api.hpp
+++ b/src/http/status_api.hpp
@@ -102,12 +102,12 @@
     {
     }
 
-    void add_routes(httplib::Server& server);
+    void add_routes(router& to);
 
 private:
-    void status(httplib::Request const& in, httplib::Response& out);
-    void targets(httplib::Request const& in, httplib::Response& out);
-    void explain(httplib::Request const& in, httplib::Response& out);
+    void status(http_call const& in, http_reply& out);
+    void targets(http_call const& in, http_reply& out);
+    void explain(http_call const& in, http_reply& out);
 
     status_readers readers_;
     operator_guard guard_;
--- a/src/http/target_connection.hpp
+++ b/src/http/target_connection.hpp
@@ -3,16 +3,19 @@
 #include "src/base/address.hpp"
 #include "src/base/ids.hpp"
 #include "src/base/units.hpp"
-#include "src/request/answer_buffer.hpp"
+#include "src/net/http_message.hpp"
 
+#include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
-namespace tanagerlead::http
+namespace boost::asio
 {
+class io_context;
+}
 
-using request::header_field;
+namespace tanagerlead::http
+{
 
 /// One HTTP request as a target gets it.
 struct target_call
@@ -20,7 +23,7 @@
     std::string method_;
     /// Path with query.
     std::string path_;
-    std::vector<header_field> headers_;
+    net::header_list headers_;
     std::string content_type_;
     std::string body_;
 };
@@ -30,43 +33,38 @@
 {
     int status_ = 0;
     std::string content_type_;
-    std::vector<header_field> headers_;
+    net::header_list headers_;
 
     /// Empty when there is no such header; case does not matter.
     std::string header(std::string_view name) const;
 };
 
-/// Lets another thread end an exchange. Valid until the exchange returns.
-class exchange_stopper
+enum class exchange_end
 {
-public:
-    virtual ~exchange_stopper() = default;
-    virtual void stop() = 0;
+    /// No connection; nothing was sent.
+    not_sent,
+    /// The whole answer has been read.
+    complete,
+    /// The connection broke, or was silent for too long.
+    cut,
+    /// The listener, or `stop`, ended it.
+    stopped,
 };
 
-/// Receives one answer, on the thread that asked for it.
+/// Receives one answer, on the loop.
 class target_listener
 {
 public:
     virtual ~target_listener() = default;
-    /// The connection is open; the next byte may reach the target.
-    virtual void on_connected(exchange_stopper& stopper) = 0;
+    /// The connection is open; the next byte may reach the target. False ends
+    /// the exchange.
+    virtual bool on_connected() = 0;
     /// False ends the exchange.
     virtual bool on_head(target_head const& head) = 0;
     /// False ends the exchange.
     virtual bool on_bytes(std::string_view bytes) = 0;
-};
-
-enum class exchange_end
-{
-    /// No connection; nothing was sent.
-    not_sent,
-    /// The whole answer has been read.
-    complete,
-    /// The connection broke, or was silent for too long.
-    cut,
-    /// The listener, or `stop`, ended it.
-    stopped,
+    /// The last call, never made inside another one.
+    virtual void on_end(exchange_end end) = 0;
 };
 
 struct connection_limits
@@ -91,27 +89,45 @@
     std::size_t most_event_bytes_ = std::size_t{1} << 20U;
 };
 
-/// How targets are reached. Blocking; any thread.
+/// One exchange that is under way. Destroying it drops its listener.
+class target_exchange
+{
+public:
+    virtual ~target_exchange() = default;
+    /// Ends the exchange soon: as `not_sent` before it is connected, else as
+    /// `stopped`.
+    virtual void stop() = 0;
+};
+
+/// How targets are reached. On the loop.
 class target_connection
 {
 public:
     virtual ~target_connection() = default;
 
     /// One exchange on a connection of its own, which is closed after it: a
-    /// connection with an unfinished answer is never used again.
-    virtual exchange_end exchange(base::address const& target,
-                                  target_call const& call,
-                                  connection_limits const& limits,
-                                  target_listener& listener) = 0;
+    /// connection with an unfinished answer is never used again. `listener`
+    /// outlives the result.
+    virtual std::unique_ptr<target_exchange>
+    begin(base::address const& target, target_call const& call,
+          connection_limits const& limits, target_listener& listener) = 0;
 };
 
 /// HTTP/1.1 over TCP.
 class http_target_connection final : public target_connection
 {
 public:
-    exchange_end exchange(base::address const& target, target_call const& call,
-                          connection_limits const& limits,
-                          target_listener& listener) override;
+    explicit http_target_connection(boost::asio::io_context& loop) : loop_{loop}
+    {
+    }
+
+    std::unique_ptr<target_exchange> begin(base::address const& target,
+                                           target_call const& call,
+                                           connection_limits const& limits,
+                                           target_listener& listener) override;
+
+private:
+    boost::asio::io_context& loop_;
 };
 
 } // namespace tanagerlead::http
--- a/src/http/target_run.hpp
+++ b/src/http/target_run.hpp
@@ -3,12 +3,12 @@
 #include "src/base/clock.hpp"
 #include "src/base/histogram.hpp"
 #include "src/http/target_connection.hpp"
+#include "src/net/event_loop.hpp"
 #include "src/request/dispatcher.hpp"
 #include "src/request/request_record.hpp"
 #include "src/request/sse.hpp"
 
-#include <condition_variable>
-#include <mutex>
+#include <functional>
 #include <optional>
 
 namespace tanagerlead::request
@@ -35,6 +35,7 @@
 /// What target runs work with.
 struct target_run_services
 {
+    net::asio::io_context& loop_;
     target_connection& connection_;
     request::dispatcher& dispatcher_;
     request::metrics& metrics_;
@@ -42,11 +43,17 @@
     target_limits const& limits_;
 };
 
-/// Work on a request that other threads may end. Any thread.
+/// Work on a request that can be ended early. On the loop.
 class active_run
 {
 public:
+    /// Called once, last, and never inside a call to the run. False when
+    /// nothing was sent, and the request may go elsewhere; otherwise the
+    /// request has ended.
+    using ended = std::function<void(bool request_ended)>;
+
     virtual ~active_run() = default;
+    virtual void start(ended done) = 0;
     /// Ends it soon: the caller is gone, or the daemon stops.
     virtual void stop() = 0;
     /// Stops it when nobody has been reading for the time of grace.
@@ -54,18 +61,14 @@
 };
 
 /// One granted request on its target: sends it, once, and reads the answer
-/// into the request's buffer.
+/// into the request's buffer. On the loop.
 class target_run final : public active_run, private target_listener
 {
 public:
     target_run(target_run_services const& use, target_job const& job,
                request::dispatch_to to);
 
-    /// Blocks until the answer has ended. False when the target could not be
-    /// connected to: nothing was sent, and the request may go elsewhere.
-    /// Otherwise the request has ended. Called once.
-    bool run();
-
+    void start(ended done) override;
     void stop() override;
     void stop_if_abandoned() override;
 
@@ -81,10 +84,19 @@
         abandoned,
     };
     struct ending;
+    /// What the exchange under way is for.
+    enum class step
+    {
+        first_answer,
+        resumption,
+        /// Tells the target that nobody wants the rest.
+        cancellation,
+    };
 
-    void on_connected(exchange_stopper& stopper) override;
+    bool on_connected() override;
     bool on_head(target_head const& head) override;
     bool on_bytes(std::string_view bytes) override;
+    void on_end(exchange_end end) override;
 
     bool decide(verdict value);
     bool echoes_request(target_head const& head) const;
@@ -93,15 +105,17 @@
     bool continues(request::sse_event const& event);
     void note_progress();
 
-    exchange_end exchange(target_call const& call);
+    void exchange(target_call const& call);
     verdict judge(exchange_end end) const;
-    verdict resume_until_ended();
+    void on_first_answer(exchange_end end);
+    void on_resumption(exchange_end end);
+    void resume();
     target_call stream_call(char const* method) const;
     bool is_abandoned() const;
-    void pause(base::duration length);
 
     void finish(verdict reason);
     void cancel_at_target();
+    void conclude();
     request::token_usage read_usage() const;
     void report(sched::dispatch_event event) const;
 
@@ -110,10 +124,13 @@
     request::dispatch_to const to_;
     request::request_record& record_;
 
+    ended done_;
     request::sse_parser parser_;
     verdict verdict_ = verdict::open;
+    /// Why the run ends, from `finish` on.
+    verdict reason_ = verdict::open;
+    step step_ = step::first_answer;
     bool dispatched_ = false;
-    bool resuming_ = false;
     std::optional<target_head> head_;
     bool is_stream_ = false;
     /// Number of the target's last event; stays 0 when it numbers none.
@@ -124,10 +141,14 @@
     base::time_point last_event_at_;
     base::duration_histogram gaps_;
 
-    mutable std::mutex stop_mutex_;
-    std::condition_variable stop_asked_;
-    exchange_stopper* stopper_ = nullptr;
+    /// Resumptions in a row that brought no event, and the pause before the
+    /// next one.
+    int vain_resumes_ = 0;
+    base::duration next_pause_;
+    std::uint64_t events_before_ = 0;
+    net::alarm pause_;
     bool stopping_ = false;
+    std::unique_ptr<target_exchange> exchange_;
 };
 
 } // namespace tanagerlead::http
--- /dev/null
+++ b/src/http/url.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tanagerlead::http
+{
+
+/// Decoded parts of the path of a request's target, without the query. Unset
+/// when the target is malformed.
+std::optional<std::vector<std::string>> path_segments(std::string_view target);
+
+/// Decoded value of the query's first parameter of that name.
+std::optional<std::string> query_parameter(std::string_view target,
+                                           std::string_view name);
+
+} // namespace tanagerlead::http
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t body_read_bytes = 16384;
 /// Bytes of further requests kept while one is answered.
 constexpr std::size_t most_unread_bytes = 65536;
-/// Data that the caller does not acknowledge for this long end the connection.
-constexpr base::duration caller_patience = 10s;
 /// Time for the caller to read the last answer before the connection closes.
 constexpr base::duration linger_time = 500ms;
 
@@ -51,7 +49,7 @@
 {
     error_code error;
     peer_ = to_address(socket_.remote_endpoint(error));
-    set_options(socket_, caller_patience);
+    set_options(socket_, limits_.unread_time_);
 }
 
 void caller_connection::start()
@@ -200,6 +198,7 @@
     }
     request.body_ = std::move(message.body());
     wants_close_ = !message.keep_alive();
+    head_only_ = message.method() == http::verb::head;
     busy_ = true;
     alarm_.clear();
     owner_.on_request(shared_from_this(), std::move(request));
@@ -207,13 +206,11 @@
 
 void caller_connection::reject(int status)
 {
-    owner_.on_bad_request(peer_, status);
     busy_ = true;
     wants_close_ = true;
+    head_only_ = false;
     parser_.reset();
-    http_response response;
-    response.status_ = status;
-    answer(response);
+    answer(owner_.on_bad_request(peer_, status));
 }
 
 void caller_connection::answer(http_response const& response)
@@ -223,7 +220,12 @@
         return;
     }
     assert(busy_);
-    out_ += to_text(response, !wants_close_ && !closing_);
+    auto text = to_text(response, !wants_close_ && !closing_);
+    if (head_only_)
+    {
+        text.resize(text.size() - response.body_.size());
+    }
+    out_ += text;
     finish_answer();
 }
 
@@ -379,6 +381,7 @@
         return;
     }
     closed_ = true;
+    drained_ = nullptr;
     alarm_.clear();
     error_code error;
     socket_.close(error);
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -21,6 +21,8 @@
     /// For a head, and again for a body.
     base::duration head_time_ = std::chrono::seconds{3};
     base::duration idle_time_ = std::chrono::seconds{15};
+    /// Data that the caller does not take for this long end the connection.
+    base::duration unread_time_ = std::chrono::seconds{10};
 };
 
 class caller_connection;
@@ -36,8 +38,10 @@
     /// A whole request. Exactly one answer follows, now or later.
     virtual void on_request(std::shared_ptr<caller_connection> const& from,
                             http_request request) = 0;
-    /// Bytes that are no request; the connection answers by itself.
-    virtual void on_bad_request(base::address const& from, int status) = 0;
+    /// Bytes that are no request. The result is sent, and the connection
+    /// closes.
+    virtual http_response on_bad_request(base::address const& from,
+                                         int status) = 0;
     virtual void on_closed(caller_connection& connection) = 0;
 };
 
@@ -71,6 +75,7 @@
 
     bool is_clogged() const { return out_.size() > clogged_bytes; }
     bool is_busy() const { return busy_; }
+    bool has_unsent() const { return !out_.empty() || !writing_.empty(); }
     /// Each further answer says that the connection closes.
     void close_after_answer() { closing_ = true; }
     /// Closes now when no request is being read or answered.
@@ -118,6 +123,8 @@
     bool wants_close_ = false;
     bool closing_ = false;
     bool continued_ = false;
+    /// The answer to HEAD has no body.
+    bool head_only_ = false;
     /// The last answer was given; waits for the caller to close.
     bool lingering_ = false;
     bool closed_ = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-/// Connects within a region take milliseconds.
-constexpr base::duration connect_timeout = std::chrono::milliseconds{700};
 /// Larger answers are an error; a page of the store is about one megabyte.
 constexpr std::size_t most_answer_bytes = 8 << 20;
 
@@ -33,9 +31,9 @@
     {
     }
 
-    void start(base::duration timeout)
+    void start(call_limits const& limits)
     {
-        alarm_.set_after(timeout);
+        alarm_.set_after(limits.whole_);
         if (auto kept = owner_.take_idle(peer_))
         {
             channel_ = std::move(kept);
@@ -43,7 +41,7 @@
             return;
         }
         channel_ = std::make_shared<channel>(owner_.loop_, peer_);
-        channel_->connect(std::min(timeout, connect_timeout),
+        channel_->connect(std::min(limits.whole_, limits.connect_),
                           [self = weak_from_this()](error_code const& error)
                           {
                               if (auto const call = self.lock())
@@ -179,13 +177,13 @@
 }
 
 void http_client::call(base::address const& peer, std::string step,
-                       http_request request, base::duration timeout,
+                       http_request request, call_limits const& limits,
                        answered done)
 {
     auto const call = std::make_shared<pending>(
         *this, peer, std::move(step), std::move(request), std::move(done));
     calls_.emplace(call.get(), call);
-    call->start(timeout);
+    call->start(limits);
 }
 
 } // namespace tanagerlead::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -9,6 +9,14 @@
 namespace tanagerlead::net
 {
 
+struct call_limits
+{
+    /// Until the whole answer is there.
+    base::duration whole_;
+    /// Connects within a region take milliseconds.
+    base::duration connect_ = std::chrono::milliseconds{700};
+};
+
 /// Calls with small answers over kept connections.
 class http_client
 {
@@ -22,7 +30,7 @@
     /// Errors: `not_sent`, or `unknown_effect` once it was sent. `step` names
     /// the call in them.
     void call(base::address const& peer, std::string step, http_request request,
-              base::duration timeout, answered done);
+              call_limits const& limits, answered done);
 
 private:
     class pending;
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace tanagerlead::net
 {
 
@@ -99,16 +101,39 @@
 
 void http_listener::close_idle()
 {
-    std::vector<std::shared_ptr<caller_connection>> all;
-    all.reserve(open_.size());
-    for (auto const& [key, connection] : open_)
+    for (auto const& connection : all())
     {
-        all.push_back(connection);
+        connection->close_if_idle();
     }
-    for (auto const& connection : all)
+}
+
+void http_listener::abort_all()
+{
+    for (auto const& connection : all())
     {
-        connection->close_if_idle();
+        connection->abort();
+    }
+}
+
+bool http_listener::is_quiet() const
+{
+    return std::none_of(open_.begin(), open_.end(),
+                        [](auto const& each) {
+                            return each.second->is_busy() ||
+                                   each.second->has_unsent();
+                        });
+}
+
+// A copy, since a connection that closes leaves the table.
+std::vector<std::shared_ptr<caller_connection>> http_listener::all() const
+{
+    std::vector<std::shared_ptr<caller_connection>> connections;
+    connections.reserve(open_.size());
+    for (auto const& [key, connection] : open_)
+    {
+        connections.push_back(connection);
     }
+    return connections;
 }
 
 void http_listener::on_request(std::shared_ptr<caller_connection> const& from,
@@ -117,12 +142,16 @@
     handler_(from, std::move(request));
 }
 
-void http_listener::on_bad_request(base::address const& from, int status)
+http_response http_listener::on_bad_request(base::address const& from,
+                                            int status)
 {
     if (bad_)
     {
-        bad_(from, status);
+        return bad_(from, status);
     }
+    http_response plain;
+    plain.status_ = status;
+    return plain;
 }
 
 // The connection may be in the middle of a call of its own.
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -15,7 +15,7 @@
     using handler = std::function<void(
         std::shared_ptr<caller_connection> const&, http_request)>;
     using bad_request_handler =
-        std::function<void(base::address const&, int status)>;
+        std::function<http_response(base::address const&, int status)>;
 
     http_listener(asio::io_context& loop, std::size_t most_connections,
                   handler on_request);
@@ -24,7 +24,11 @@
     base::result<void> listen(base::address const& at);
     base::address local_address() const;
     void set_limits(connection_limits limits) { limits_ = limits; }
-    void on_bad_requests(bad_request_handler seen) { bad_ = std::move(seen); }
+    /// Without one the answer has a status and no body.
+    void on_bad_requests(bad_request_handler answer)
+    {
+        bad_ = std::move(answer);
+    }
 
     /// No further connections.
     void stop_accepting();
@@ -32,16 +36,22 @@
     void close_after_answers();
     /// Ends the connections on which nothing is under way.
     void close_idle();
+    /// Ends all connections at once, answered or not.
+    void abort_all();
+    /// Whether no request is under way and nothing waits to be sent.
+    bool is_quiet() const;
     std::size_t connections() const { return open_.size(); }
 
     connection_limits limits() const override { return limits_; }
     void on_request(std::shared_ptr<caller_connection> const& from,
                     http_request request) override;
-    void on_bad_request(base::address const& from, int status) override;
+    http_response on_bad_request(base::address const& from,
+                                 int status) override;
     void on_closed(caller_connection& connection) override;
 
 private:
     void accept();
+    std::vector<std::shared_ptr<caller_connection>> all() const;
 
     asio::io_context& loop_;
     tcp::acceptor acceptor_;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -80,24 +80,6 @@
         [&](header_field const& f) { return same_name(f.name_, name); }));
 }
 
-bool header_list::has_token(std::string_view name, std::string_view token) const
-{
-    for (auto const& field : fields_)
-    {
-        if (!same_name(field.name_, name))
-        {
-            continue;
-        }
-        boost::beast::http::token_list tokens{
-            {field.value_.data(), field.value_.size()}};
-        if (tokens.exists({token.data(), token.size()}))
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
 void remove_connection_fields(header_list& headers)
 {
     std::vector<std::string> named;
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -28,8 +28,6 @@
     /// The first of that name; null when there is none.
     std::string const* find(std::string_view name) const;
     std::size_t count(std::string_view name) const;
-    /// Whether a comma-separated field names the token.
-    bool has_token(std::string_view name, std::string_view token) const;
 
     auto begin() const { return fields_.begin(); }
     auto end() const { return fields_.end(); }
--- a/src/request/answer_buffer.cpp
+++ b/src/request/answer_buffer.cpp
@@ -16,7 +16,7 @@
     std::lock_guard const lock{mutex_};
     assert(!head_);
     head_ = std::move(head);
-    changed_.notify_all();
+    tell_all();
 }
 
 bool answer_buffer::append(std::string event)
@@ -29,7 +29,7 @@
     }
     bytes_ += event.size();
     events_.push_back(std::move(event));
-    changed_.notify_all();
+    tell_all();
     return true;
 }
 
@@ -39,29 +39,34 @@
     if (!end_)
     {
         end_ = std::move(end);
-        changed_.notify_all();
+        tell_all();
     }
 }
 
-bool answer_buffer::wait_for_head(base::duration longest) const
+void answer_buffer::tell_all()
 {
-    std::unique_lock lock{mutex_};
-    return changed_.wait_for(lock, longest, [this] { return head_ || end_; });
+    for (auto const& [subscription, changed] : listeners_)
+    {
+        changed();
+    }
+}
+
+std::uint64_t answer_buffer::subscribe(listener changed)
+{
+    std::lock_guard const lock{mutex_};
+    listeners_.emplace(next_subscription_, std::move(changed));
+    return next_subscription_++;
 }
 
-bool answer_buffer::wait_for_end(base::duration longest) const
+void answer_buffer::unsubscribe(std::uint64_t subscription)
 {
-    std::unique_lock lock{mutex_};
-    return changed_.wait_for(lock, longest,
-                             [this] { return end_.has_value(); });
+    std::lock_guard const lock{mutex_};
+    listeners_.erase(subscription);
 }
 
-answer_buffer::slice answer_buffer::read_after(std::uint64_t after,
-                                               base::duration longest) const
+answer_buffer::slice answer_buffer::read_after(std::uint64_t after) const
 {
-    std::unique_lock lock{mutex_};
-    changed_.wait_for(lock, longest,
-                      [this, after] { return events_.size() > after || end_; });
+    std::lock_guard const lock{mutex_};
     slice result;
     result.last_ = after;
     while (result.last_ < events_.size() &&
--- a/src/request/answer_buffer.hpp
+++ b/src/request/answer_buffer.hpp
@@ -3,10 +3,12 @@
 #include "src/base/error.hpp"
 #include "src/base/ids.hpp"
 #include "src/base/units.hpp"
+#include "src/net/http_message.hpp"
 #include "src/request/outcome.hpp"
 
-#include <condition_variable>
 #include <deque>
+#include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -15,12 +17,6 @@
 namespace tanagerlead::request
 {
 
-struct header_field
-{
-    std::string name_;
-    std::string value_;
-};
-
 /// What is known of an answer before its content.
 struct answer_head
 {
@@ -31,7 +27,7 @@
     bool stream_ = false;
     base::target_id target_;
     /// Further headers for the caller.
-    std::vector<header_field> headers_{};
+    std::vector<net::header_field> headers_{};
 };
 
 /// How a request ended.
@@ -73,12 +69,15 @@
     /// Only the first end counts.
     void finish(answer_end end);
 
-    /// Waits until there is a head or an end, at most `longest`.
-    bool wait_for_head(base::duration longest) const;
-    /// Waits until the answer has ended, at most `longest`.
-    bool wait_for_end(base::duration longest) const;
-    /// Events after number `after`; waits for the next one at most `longest`.
-    slice read_after(std::uint64_t after, base::duration longest) const;
+    /// Events after number `after`, as far as they are there.
+    slice read_after(std::uint64_t after) const;
+
+    /// Called after each change, by the thread that made it and under the
+    /// buffer's lock: it may only leave a note for another thread.
+    using listener = std::function<void()>;
+    /// Returns a number for `unsubscribe`, after which no call comes.
+    std::uint64_t subscribe(listener changed);
+    void unsubscribe(std::uint64_t subscription);
 
     std::optional<answer_head> head() const;
     std::optional<answer_end> end() const;
@@ -87,13 +86,16 @@
     std::size_t most_bytes() const { return most_bytes_; }
 
 private:
+    void tell_all();
+
     std::size_t const most_bytes_;
     mutable std::mutex mutex_;
-    mutable std::condition_variable changed_;
     std::optional<answer_head> head_;
     std::deque<std::string> events_;
     std::size_t bytes_ = 0;
     std::optional<answer_end> end_;
+    std::map<std::uint64_t, listener> listeners_;
+    std::uint64_t next_subscription_ = 1;
 };
 
 } // namespace tanagerlead::request
--- a/src/http/caller_stream.cpp
+++ b/tests/fakes/caller_stream.cpp
@@ -1,4 +1,4 @@
-#include "src/http/caller_stream.hpp"
+#include "tests/fakes/caller_stream.hpp"
 
 #include <arpa/inet.h>
 #include <poll.h>
@@ -8,7 +8,7 @@
 #include <array>
 #include <cerrno>
 
-namespace tanagerlead::http
+namespace tanagerlead::fakes
 {
 
 namespace
@@ -171,4 +171,4 @@
     read_name(&::getsockname, socket_, ip, port);
 }
 
-} // namespace tanagerlead::http
+} // namespace tanagerlead::fakes
--- a/src/http/caller_stream.hpp
+++ b/tests/fakes/caller_stream.hpp
@@ -7,7 +7,7 @@
 #include <atomic>
 #include <string>
 
-namespace tanagerlead::http
+namespace tanagerlead::fakes
 {
 
 struct caller_stream_limits
@@ -62,4 +62,4 @@
     bool broken_ = false;
 };
 
-} // namespace tanagerlead::http
+} // namespace tanagerlead::fakes
--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,94 @@
+#include "src/net/http_client.hpp"
+
+#include "src/net/http_listener.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace tanagerlead;
+using namespace std::chrono_literals;
+
+TEST_GROUP(http_client)
+{
+    net::asio::io_context loop_{1};
+    std::vector<std::shared_ptr<net::caller_connection>> unanswered_;
+    bool answers_ = true;
+    net::http_listener listener_{
+        loop_, 16,
+        [this](std::shared_ptr<net::caller_connection> const& from,
+               net::http_request const& request)
+        {
+            if (!answers_)
+            {
+                unanswered_.push_back(from);
+                return;
+            }
+            net::http_response echo;
+            echo.status_ = 200;
+            echo.body_ = request.target_;
+            from->answer(echo);
+        }};
+    net::http_client client_{loop_};
+
+    void setup() override
+    {
+        listener_.listen({"127.0.0.1", 0}).value();
+    }
+
+    base::result<net::http_response> call(base::address const& to,
+                                          net::call_limits const& limits =
+                                              net::call_limits{10s})
+    {
+        std::optional<base::result<net::http_response>> outcome;
+        net::http_request request{"GET", "/path", {}, {}};
+        request.headers_.set("Host", "x");
+        client_.call(to, "ask", request, limits,
+                     [&](base::result<net::http_response> got)
+                     { outcome = std::move(got); });
+        while (!outcome)
+        {
+            loop_.run_one();
+        }
+        return std::move(*outcome);
+    }
+
+    base::address there() const
+    {
+        return listener_.local_address();
+    }
+};
+
+TEST(http_client, keeps_its_connection)
+{
+    STRCMP_EQUAL("/path", call(there()).value().body_.c_str());
+    STRCMP_EQUAL("/path", call(there()).value().body_.c_str());
+    CHECK_EQUAL(1, listener_.connections());
+}
+
+TEST(http_client, calls_what_was_not_connected_not_sent)
+{
+    auto const refused = call({"127.0.0.1", 1});
+    CHECK(refused.error().code_ == base::error_code::not_sent);
+    STRCMP_EQUAL("ask", refused.error().step_.c_str());
+    STRCMP_EQUAL("127.0.0.1:1", refused.error().peer_.c_str());
+}
+
+TEST(http_client, does_not_know_the_effect_without_an_answer)
+{
+    answers_ = false;
+    auto const late = call(there(), {20ms});
+    CHECK(late.error().code_ == base::error_code::unknown_effect);
+}
+
+TEST(http_client, does_not_know_the_effect_when_the_connection_ends)
+{
+    answers_ = false;
+    net::alarm ends{loop_, [this]
+                    {
+                        listener_.abort_all();
+                    }};
+    ends.set_after(20ms);
+    auto const cut = call(there());
+    CHECK(cut.error().code_ == base::error_code::unknown_effect);
+}
