Entry and routing: smaller parts

traffic, call and dispatcher were 762, 640 and 661 lines. Parts of their own now: the planned stop, the directory's answers, what identifies a request, the line of a call's end, the limits of a target's silence (with a test), and the choice of a target. No behaviour changed; tests of routing, entry and platform pass.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -19,15 +19,7 @@
 /// what must not run twice does not take that chance.
 constexpr base::duration most_idle_unrepeatable = 700ms;
 constexpr base::duration most_idle_repeatable = 60s;
-/// Silence after which a request that may be repeated goes to another target:
-/// mean deviations beyond the usual, and bounds. A stream that goes on in
-/// time for its longest pause is still on time.
-constexpr double stall_deviations_plain = 4;
-constexpr double stall_deviations_stream = 6;
-constexpr base::duration least_stall_plain = 60ms;
-constexpr base::duration least_stall_first = 300ms;
-constexpr base::duration most_stall = 1200ms;
-constexpr double least_stall_gap = 0.6;
+/// Until the next look for a free place for a request whose target is silent.
 constexpr base::duration stall_recheck = 100ms;
 /// With less time left another attempt would only take a place.
 constexpr base::duration least_time_for_retry = 30ms;
@@ -54,26 +46,6 @@
 
 } // namespace
 
-char const* to_string(call_outcome outcome)
-{
-    switch (outcome)
-    {
-    case call_outcome::complete:
-        return "complete";
-    case call_outcome::target_error:
-        return "target_error";
-    case call_outcome::refused:
-        return "refused";
-    case call_outcome::failed:
-        return "failed";
-    case call_outcome::cut:
-        return "cut";
-    case call_outcome::caller_left:
-        return "caller_left";
-    }
-    return "unknown";
-}
-
 call::call(call_owner& owner, std::shared_ptr<net::caller_connection> caller,
            subject about)
     : owner_{owner}, caller_{std::move(caller)}, about_{std::move(about)},
@@ -404,42 +376,12 @@
     owner_.on_broken(*this, target);
 }
 
-std::optional<base::duration> call::stall_limit() const
-{
-    auto const& r = *about_.route_;
-    if (!r.may_repeat() || progress_.attempts_ >= r.most_attempts_)
-    {
-        return std::nullopt;
-    }
-    return is_stream() ? stream_stall_limit() : plain_stall_limit();
-}
-
-base::duration call::plain_stall_limit() const
-{
-    auto const usual = owner_.latency(about_.pool_)
-                           .first_.limit(stall_deviations_plain, most_stall);
-    return std::clamp(usual, least_stall_plain, most_stall);
-}
-
-base::duration call::stream_stall_limit() const
-{
-    auto const& usual = owner_.latency(about_.pool_);
-    if (attempt_events_ > 0)
-    {
-        auto const least = base::from_seconds(
-            least_stall_gap * base::seconds(about_.route_->gap_objective_));
-        return std::clamp(usual.gap_.limit(stall_deviations_stream, most_stall),
-                          std::min(least, most_stall), most_stall);
-    }
-    auto const first =
-        std::clamp(usual.first_.limit(stall_deviations_stream, most_stall),
-                   least_stall_first, most_stall);
-    return first + routing::prompt_time(about_.marks_.prompt_tokens_);
-}
-
 void call::arm_stall()
 {
-    if (auto const limit = stall_limit())
+    routing::stall_subject const about{progress_.attempts_, attempt_events_,
+                                       about_.marks_.prompt_tokens_};
+    if (auto const limit = routing::stall_limit(about, *about_.route_,
+                                                owner_.latency(about_.pool_)))
     {
         stall_alarm_.set_after(*limit);
     }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/entry/call_outcome.hpp"
 #include "src/entry/event_log.hpp"
 #include "src/entry/protocol.hpp"
 #include "src/net/caller_connection.hpp"
@@ -8,29 +9,13 @@
 #include "src/routing/dispatcher.hpp"
 #include "src/routing/event_splitter.hpp"
 #include "src/routing/latency_estimate.hpp"
+#include "src/routing/stall_limit.hpp"
 
 namespace tanagerlead::entry
 {
 
 class call;
 
-/// How a request ended, for logs and metrics.
-enum class call_outcome : std::uint8_t
-{
-    complete,
-    /// The target's own error.
-    target_error,
-    /// It was not run.
-    refused,
-    /// It may have run, and its answer was lost or late.
-    failed,
-    /// Its answer began and was cut off.
-    cut,
-    caller_left,
-};
-
-char const* to_string(call_outcome outcome);
-
 /// What a call needs of the daemon. All on the traffic loop.
 class call_owner
 {
@@ -131,9 +116,6 @@
     void on_deadline();
     void on_stall();
     void arm_stall();
-    std::optional<base::duration> stall_limit() const;
-    base::duration plain_stall_limit() const;
-    base::duration stream_stall_limit() const;
     void deliver();
     void finish_stream();
     void fail(routing::attempt_failure failure, std::string const& detail);
--- /dev/null
+++ b/src/entry/call_report.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "src/entry/call.hpp"
+
+namespace tanagerlead::entry
+{
+
+/// The log line of a call that is over. `first`: from its arrival to the first
+/// byte of its answer.
+log_line describe_end(call const& over, call_outcome outcome,
+                      std::string const& cause, base::duration first,
+                      base::time_point now);
+
+} // namespace tanagerlead::entry
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,7 +1,9 @@
 #include "src/entry/traffic.hpp"
 
+#include "src/entry/call_report.hpp"
+#include "src/entry/call_subject.hpp"
+
 #include <boost/outcome/try.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <cassert>
@@ -18,9 +20,6 @@
 /// store and files.
 constexpr double caller_descriptors = 0.7;
 constexpr std::size_t most_small_connections = 256;
-/// How long callers keep an answer of the directory. Short, so that they
-/// follow planned stops and deaths; asking costs little.
-constexpr base::duration directory_keep = 2s;
 /// A caller that meets a daemon without configuration tries another one.
 constexpr base::duration retry_when_starting = 300ms;
 constexpr base::duration retry_when_leaving = 50ms;
@@ -31,33 +30,6 @@
 /// its burst.
 constexpr base::duration spent_interval = 50ms;
 
-/// Callers learn of a planned stop within this time: they keep an answer of
-/// the directory for up to three times as long as they are told.
-constexpr base::duration longest_serving_when_leaving = 2800ms;
-constexpr base::duration leave_check_interval = 50ms;
-/// Kept from the grace period for the last bytes.
-constexpr base::duration leave_margin = 400ms;
-
-std::uint64_t fingerprint_of(net::http_request const& request,
-                             base::workspace_id const& workspace)
-{
-    auto const mix = [](std::string const& text, std::uint64_t seed)
-    {
-        return XXH64(text.data(), text.size(), seed);
-    };
-    return mix(request.body_, mix(request.target_, mix(workspace.str(), 0)));
-}
-
-std::string host_of(net::header_list const& headers)
-{
-    auto const* const host = headers.find("Host");
-    auto name = host == nullptr ? std::string{} : *host;
-    name = name.substr(0, name.find(':'));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    return name;
-}
-
 } // namespace
 
 traffic::traffic(net::asio::io_context& loop, settings const& s,
@@ -66,7 +38,9 @@
       random_{base::entropy()}, life_{random_()}, peers_{loop, s, life_, *this},
       dispatcher_{{s.data_centre_, random_()}, peers_.board()},
       budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
-      quotas_{s.quota_slack_}, channels_{loop},
+      quotas_{s.quota_slack_}, channels_{loop}, known_daemons_{settings_,
+                                                               protocol_,
+                                                               peers_.board()},
       callers_{
           loop,
           static_cast<std::size_t>(caller_descriptors *
@@ -83,7 +57,8 @@
       directory_{loop, most_small_connections,
                  [this](auto const& from, net::http_request const& r)
                  {
-                     on_directory_request(from, r);
+                     from->answer(known_daemons_.answer(r.target_, is_ready(),
+                                                        net::now()));
                  }},
       metrics_listener_{loop, most_small_connections,
                         [this](auto const& from, net::http_request const&)
@@ -95,10 +70,11 @@
                      {
                          advance();
                      }},
-      leave_alarm_{loop, [this]
-                   {
-                       check_left();
-                   }}
+      stop_{loop, callers_, log_,
+            [this]
+            {
+                return calls_.size();
+            }}
 {
     callers_.on_bad_requests(
         [this](base::address const& from, int status)
@@ -157,7 +133,7 @@
 
 routing::daemon_state traffic::own_state() const
 {
-    if (leaving_)
+    if (stop_.has_begun())
     {
         return routing::daemon_state::leaving;
     }
@@ -211,7 +187,7 @@
         turn_away(from, 503, "no_configuration", id, retry_when_starting);
         return;
     }
-    if (refusing_)
+    if (stop_.refuses())
     {
         turn_away(from, 503, "leaving", id, retry_when_leaving);
         return;
@@ -219,25 +195,6 @@
     begin_call(from, std::move(request), std::move(marks).value());
 }
 
-base::pool_id traffic::choose_pool(routing::route const& r)
-{
-    std::uint64_t sum = 0;
-    for (auto const& p : r.pools_)
-    {
-        sum += p.weight_;
-    }
-    auto pick = sum == 0 ? 0 : random_.below(sum);
-    for (auto const& p : r.pools_)
-    {
-        if (pick < p.weight_)
-        {
-            return p.pool_;
-        }
-        pick -= p.weight_;
-    }
-    return r.pools_.front().pool_;
-}
-
 void traffic::begin_call(connection_ptr const& from, net::http_request request,
                          call_marks marks)
 {
@@ -260,7 +217,7 @@
     about.configuration_ = configuration_;
     about.route_ = found.route_;
     about.workspace_ = found.workspace_;
-    about.pool_ = choose_pool(*found.route_);
+    about.pool_ = choose_pool(*found.route_, random_);
     about.tier_ = found.tier_;
     about.deference_ = found.deference_;
     about.fingerprint_ = fingerprint_of(
@@ -515,27 +472,8 @@
     auto const first = over.first_piece().value_or(now) - over.received();
     metrics_.on_call(workspace, about.tier_, outcome, cause, first,
                      now - over.received());
-    log_line line{"Request ended."};
-    line.with("request", about.marks_.request_id_)
-        .with("workspace", workspace.str())
-        .with("route", about.route_->name_)
-        .with("pool", about.pool_.str())
-        .with("tier", static_cast<std::int64_t>(base::index(about.tier_)))
-        .with("outcome", to_string(outcome))
-        .with("status", over.status())
-        .with("cause", cause)
-        .with("target", over.target().str())
-        .with("attempts", over.progress().attempts_)
-        .with("failed_connects", over.progress().failed_connects_);
-    if (over.progress().attempts_ > 0)
-    {
-        line.with_ms("waited_ms", over.first_sent() - over.received());
-    }
-    line.with_ms("first_ms", first)
-        .with_ms("total_ms", now - over.received())
-        .with("config",
-              static_cast<std::int64_t>(about.configuration_->version()))
-        .with("waiting", static_cast<std::int64_t>(dispatcher_.waiting()))
+    auto line = describe_end(over, outcome, cause, first, now);
+    line.with("waiting", static_cast<std::int64_t>(dispatcher_.waiting()))
         .with("in_flight", static_cast<std::int64_t>(dispatcher_.in_flight()));
     log_.write(line_kind::request, line, now);
     auto const found = calls_.find(about.id_);
@@ -544,10 +482,7 @@
     net::asio::post(loop_, [ended = std::move(found->second)] {});
     calls_.erase(found);
     wake();
-    if (left_)
-    {
-        leave_alarm_.set(now);
-    }
+    stop_.on_call_end();
 }
 
 void traffic::fill(routing::peer_report& report, audience to)
@@ -612,57 +547,6 @@
     }
 }
 
-std::vector<base::address>
-traffic::entry_addresses(base::data_centre_id const& near) const
-{
-    auto const now = net::now();
-    auto const collect = [&](std::optional<routing::id_digest> where)
-    {
-        std::vector<base::address> out;
-        for (auto const peer : peers_.board().ready(where, now))
-        {
-            out.push_back({to_string(peer), settings_.callers_.port_});
-        }
-        return out;
-    };
-    auto addresses = collect(routing::digest_of(near.str()));
-    if (is_ready() && (near == settings_.data_centre_ || addresses.empty()))
-    {
-        addresses.push_back(settings_.callers_);
-    }
-    if (addresses.empty())
-    {
-        addresses = collect(std::nullopt);
-    }
-    return addresses;
-}
-
-void traffic::on_directory_request(connection_ptr const& from,
-                                   net::http_request const& request)
-{
-    net::http_response response;
-    auto const question = protocol_.read_entry_question(request.target_);
-    if (!question)
-    {
-        response.status_ = 404;
-        from->answer(response);
-        return;
-    }
-    entry_answer answer;
-    answer.addresses_ = entry_addresses(question->data_centre_);
-    answer.keep_ = directory_keep;
-    if (answer.addresses_.empty())
-    {
-        response.status_ = 503;
-        from->answer(response);
-        return;
-    }
-    response.status_ = 200;
-    response.headers_.add("Content-Type", "application/json");
-    response.body_ = protocol_.write_entry_answer(answer);
-    from->answer(response);
-}
-
 void traffic::on_health_request(connection_ptr const& from,
                                 net::http_request const& request)
 {
@@ -700,63 +584,8 @@
 
 void traffic::leave(std::function<void()> done)
 {
-    leaving_ = true;
-    left_ = std::move(done);
-    leave_ends_ = net::now() + settings_.grace_ - leave_margin;
-    log_.write(line_kind::control,
-               log_line{"Planned stop begins."}.with(
-                   "calls", static_cast<std::int64_t>(calls_.size())),
-               net::now());
-    callers_.close_after_answers();
+    stop_.begin(settings_.grace_, std::move(done));
     peers_.send();
-    auto const serving =
-        std::min(longest_serving_when_leaving, settings_.grace_ / 3);
-    leave_alarm_.set_after(serving);
-}
-
-void traffic::begin_refusing()
-{
-    refusing_ = true;
-    callers_.close_idle();
-}
-
-void traffic::check_left()
-{
-    if (!refusing_)
-    {
-        auto const quiet_since =
-            leave_ends_ + leave_margin - settings_.grace_ +
-            std::min(longest_serving_when_leaving, settings_.grace_ / 3);
-        if (net::now() < quiet_since)
-        {
-            leave_alarm_.set(quiet_since);
-            return;
-        }
-        begin_refusing();
-    }
-    callers_.close_idle();
-    auto const quiet = calls_.empty() && callers_.connections() == 0;
-    if (!quiet && net::now() < leave_ends_)
-    {
-        leave_alarm_.set_after(leave_check_interval);
-        return;
-    }
-    end_leaving();
-}
-
-void traffic::end_leaving()
-{
-    log_.write(line_kind::control,
-               log_line{"Planned stop ends."}.with(
-                   "cut", static_cast<std::int64_t>(calls_.size())),
-               net::now());
-    callers_.stop_accepting();
-    auto const done = std::move(left_);
-    left_ = nullptr;
-    if (done)
-    {
-        done();
-    }
 }
 
 } // namespace tanagerlead::entry
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -2,7 +2,9 @@
 
 #include "src/entry/call.hpp"
 #include "src/entry/channel_pool.hpp"
+#include "src/entry/daemon_directory.hpp"
 #include "src/entry/peer_exchange.hpp"
+#include "src/entry/planned_stop.hpp"
 #include "src/entry/traffic_metrics.hpp"
 #include "src/net/http_listener.hpp"
 #include "src/routing/crash_watch.hpp"
@@ -77,14 +79,9 @@
     void turn_away(connection_ptr const& from, int status, char const* cause,
                    std::string const& request_id,
                    std::optional<base::duration> retry_after);
-    base::pool_id choose_pool(routing::route const& r);
-    void on_directory_request(connection_ptr const& from,
-                              net::http_request const& request);
     void on_health_request(connection_ptr const& from,
                            net::http_request const& request);
     void on_metrics_request(connection_ptr const& from);
-    std::vector<base::address>
-    entry_addresses(base::data_centre_id const& near) const;
 
     void wake();
     void advance();
@@ -94,10 +91,6 @@
     routing::daemon_state own_state() const;
     void refresh_heard();
 
-    void begin_refusing();
-    void end_leaving();
-    void check_left();
-
     net::asio::io_context& loop_;
     settings settings_;
     protocol const& protocol_;
@@ -114,6 +107,7 @@
     routing::crash_watch crashes_;
     std::map<base::pool_id, routing::pool_latency> latencies_;
     channel_pool channels_;
+    daemon_directory known_daemons_;
     traffic_metrics metrics_;
 
     net::http_listener callers_;
@@ -129,13 +123,9 @@
     std::map<base::target_id, bool> probing_;
 
     net::alarm advance_alarm_;
-    net::alarm leave_alarm_;
+    planned_stop stop_;
     bool advancing_ = false;
     bool wake_posted_ = false;
-    bool leaving_ = false;
-    bool refusing_ = false;
-    std::function<void()> left_;
-    base::time_point leave_ends_{};
 };
 
 } // namespace tanagerlead::entry
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -25,34 +25,11 @@
 constexpr double most_held_part = 0.3;
 /// Callers of a stream leave after a pause of two seconds or more.
 constexpr base::duration longest_break = 1800ms;
-/// Added to the cost of a target in another data centre, in parts of the mean.
-constexpr double distance_cost = 0.4;
-/// Growth of the cost from an idle to a full target, in parts.
-constexpr double load_cost = 0.5;
-/// Cost of a target whose answers all fail, in parts of the mean.
-constexpr double failure_cost = 8.0;
-/// Reading a prompt delays all that run beside it: tokens read in the time of
-/// one event of theirs.
-constexpr double prompt_tokens_per_event = 1500;
-/// Subtracted for the target to which the shared part of the prompt belongs.
-constexpr double affinity_gain = 0.25;
-/// Random part of the cost, so that daemons do not all choose alike.
-constexpr double cost_jitter = 0.1;
 /// Weight of the newest request in the mean time that a place is held.
 constexpr double place_gain = 0.05;
-/// Requests of the first rank that may wait at a full target, so that they
-/// take its next place before any daemon hears that it is free.
-constexpr int urgent_places = 1;
 /// Bounds of the advice when to come back.
 constexpr base::duration shortest_retry = 150ms;
 constexpr base::duration longest_retry = 5s;
-/// Weight of the newest request in the mean of tokens.
-constexpr double tokens_gain = 0.05;
-
-base::token_count tokens_of(call_item const& call)
-{
-    return call.work_.prompt_tokens_ + call.work_.most_output_tokens_;
-}
 
 /// Free places can appear without news from a daemon that fell silent.
 constexpr base::duration look_again = 50ms;
@@ -66,7 +43,8 @@
 
 dispatcher::pool_record& dispatcher::pool(base::pool_id const& id)
 {
-    auto const [place, is_new] = pools_.try_emplace(id);
+    auto const [place, is_new] = pools_.try_emplace(
+        id, target_choice{peers_, settings_.data_centre_, random_});
     if (is_new)
     {
         place->second.digest_ = digest_of(id.str());
@@ -76,11 +54,11 @@
 
 void dispatcher::set_targets(std::vector<target_info> const& targets)
 {
-    std::map<base::target_id, target_record> next;
+    std::map<base::target_id, dispatch_target> next;
     for (auto const& info : targets)
     {
         auto const known = targets_.find(info.id_);
-        target_record record;
+        dispatch_target record;
         record.health_ = sched::target_health{pauses};
         if (known != targets_.end())
         {
@@ -112,7 +90,7 @@
     }
     for (auto& [id, record] : targets_)
     {
-        pool(record.info_.pool_).targets_.push_back(&record);
+        pool(record.info_.pool_).targets_.add(record);
     }
 }
 
@@ -120,28 +98,12 @@
 {
     for (auto& [id, p] : pools_)
     {
-        p.memory_tokens_ = 0;
+        p.targets_.set_memory(0);
     }
     for (auto const& limits : pools)
     {
-        pool(limits.pool_).memory_tokens_ = limits.memory_tokens_;
-    }
-}
-
-// A target whose memory runs out stops its newest request and reads it again
-// from the start. One that fits nowhere goes to an empty target, which says
-// what it thinks of it.
-bool dispatcher::has_memory(pool_record const& p, target_record const& t,
-                            int others, call_item const& call)
-{
-    if (p.memory_tokens_ == 0 || t.own_ + others == 0)
-    {
-        return true;
+        pool(limits.pool_).targets_.set_memory(limits.memory_tokens_);
     }
-    auto const used =
-        static_cast<double>(t.own_tokens_) + others * p.mean_tokens_;
-    return used + static_cast<double>(tokens_of(call)) <=
-           static_cast<double>(p.memory_tokens_);
 }
 
 target_info const* dispatcher::find(base::target_id const& id) const
@@ -150,153 +112,10 @@
     return found == targets_.end() ? nullptr : &found->second.info_;
 }
 
-int dispatcher::extra_places(call_item const& call)
-{
-    return call.urgent_ || call.begun_ ? urgent_places : 0;
-}
-
-int dispatcher::places(pool_record const& p) const
-{
-    int sum = 0;
-    for (auto const* t : p.targets_)
-    {
-        sum += t->info_.draining_ || t->displaced_ ? 0 : t->info_.slots_;
-    }
-    return sum;
-}
-
-int dispatcher::free_places(target_record const& t, int extra,
-                            base::time_point now) const
-{
-    if (t.info_.draining_ || t.displaced_)
-    {
-        return 0;
-    }
-    auto const used = t.own_ + peers_.in_flight_elsewhere(t.digest_);
-    auto const limit = t.health_.most_outstanding(t.info_.slots_ + extra, now);
-    return std::max(0, limit - used);
-}
-
-int dispatcher::free_places(pool_record const& p, int extra,
-                            base::time_point now) const
-{
-    int sum = 0;
-    for (auto const* t : p.targets_)
-    {
-        sum += free_places(*t, extra, now);
-    }
-    return sum;
-}
-
-double dispatcher::mean_pace(pool_record const& p) const
-{
-    double sum = 0;
-    int known = 0;
-    for (auto const* t : p.targets_)
-    {
-        if (t->pace_.is_known())
-        {
-            sum += t->pace_.seconds_per_unit(0);
-            ++known;
-        }
-    }
-    return known == 0 ? 1.0 : sum / known;
-}
-
-double dispatcher::cost(target_record const& t, call_item const& call,
-                        double mean) const
-{
-    auto const used = t.own_ + peers_.in_flight_elsewhere(t.digest_);
-    auto const slots = std::max(1, t.info_.slots_);
-    auto const pace = t.pace_.seconds_per_unit(mean) / mean;
-    auto const load = static_cast<double>(used) / slots;
-    auto const prompt = static_cast<double>(call.work_.prompt_tokens_) /
-                        prompt_tokens_per_event;
-    // Each request there waits while the prompt is read.
-    auto const harm = pace * prompt * load;
-    auto const far = t.info_.data_centre_ != settings_.data_centre_;
-    return pace * (1.0 + load_cost * load) + harm +
-           (far ? distance_cost : 0.0) + failure_cost * t.failures_.value();
-}
-
-// Rendezvous hashing: all daemons agree on the target, and a change of the
-// targets moves few keys.
-dispatcher::target_record const* dispatcher::home_of(pool_record const& p,
-                                                     std::uint64_t affinity)
-{
-    target_record const* home = nullptr;
-    std::uint64_t highest = 0;
-    for (auto const* t : p.targets_)
-    {
-        auto const weight = base::random_source{
-            affinity ^ static_cast<std::uint64_t>(t->digest_)}();
-        if (affinity != 0 && !t->info_.draining_ && weight >= highest)
-        {
-            highest = weight;
-            home = t;
-        }
-    }
-    return home;
-}
-
-bool dispatcher::lacks_memory(pool_record const& p, call_item const& call,
-                              base::time_point now) const
-{
-    return std::any_of(p.targets_.begin(), p.targets_.end(),
-                       [&](target_record const* t)
-                       {
-                           return !was_tried(call, *t) &&
-                                  free_places(*t, extra_places(call), now) > 0;
-                       });
-}
-
-bool dispatcher::was_tried(call_item const& call, target_record const& t)
-{
-    return std::find(call.tried_.begin(), call.tried_.end(), t.info_.id_) !=
-           call.tried_.end();
-}
-
-bool dispatcher::has_target(pool_record const& p, call_item const& call) const
-{
-    return std::any_of(p.targets_.begin(), p.targets_.end(),
-                       [&](target_record const* t) {
-                           return !t->info_.draining_ && !t->displaced_ &&
-                                  !was_tried(call, *t);
-                       });
-}
-
-dispatcher::target_record* dispatcher::choose(pool_record const& p,
-                                              call_item const& call,
-                                              base::time_point now)
-{
-    auto const mean = mean_pace(p);
-    auto const* const home = home_of(p, call.affinity_);
-    target_record* best = nullptr;
-    auto lowest = std::numeric_limits<double>::max();
-    for (auto* const t : p.targets_)
-    {
-        auto const others = peers_.in_flight_elsewhere(t->digest_);
-        if (was_tried(call, *t) ||
-            free_places(*t, extra_places(call), now) <= 0 ||
-            !has_memory(p, *t, others, call))
-        {
-            continue;
-        }
-        auto const c = cost(*t, call, mean) + cost_jitter * random_.uniform() -
-                       (t == home ? affinity_gain : 0.0);
-        if (c < lowest)
-        {
-            lowest = c;
-            best = t;
-        }
-    }
-    return best;
-}
-
 base::duration dispatcher::expected_wait(pool_record const& p,
                                          double ahead) const
 {
-    auto const all = places(p);
+    auto const all = p.targets_.places();
     return all == 0 ? base::duration{}
                     : base::from_seconds(ahead * p.place_seconds_ / all);
 }
@@ -330,7 +149,7 @@
 {
     auto& p = pool(id);
     auto const rate =
-        p.place_seconds_ == 0 ? 0.0 : places(p) / p.place_seconds_;
+        p.place_seconds_ == 0 ? 0.0 : p.targets_.places() / p.place_seconds_;
     auto const passed = base::seconds(now - p.booked_at_);
     p.booked_ = std::max(0.0, p.booked_ - passed * rate);
     p.booked_at_ = now;
@@ -364,7 +183,7 @@
     auto& p = pool(item.work_.pool_);
     auto const request = item.work_.request_;
     assert(!waiting_.contains(request) && !in_flight_.contains(request));
-    if (!has_target(p, item))
+    if (!p.targets_.has_target(item))
     {
         refuse(request, sched::refusal_cause::no_target, refused_);
         return;
@@ -425,17 +244,16 @@
     {
         return nullptr;
     }
-    auto const* const target = choose(p, call, now);
+    auto const* const target = p.targets_.choose(call, now);
     return target == nullptr ? nullptr : &target->info_;
 }
 
-void dispatcher::take_place(target_record& target, call_item const& call,
+void dispatcher::take_place(dispatch_target& target, call_item const& call,
                             base::time_point now)
 {
     auto& p = pool(call.work_.pool_);
     auto const tokens = tokens_of(call);
-    p.mean_tokens_ +=
-        tokens_gain * (static_cast<double>(tokens) - p.mean_tokens_);
+    p.targets_.on_taken(tokens);
     ++target.own_;
     target.own_tokens_ += tokens;
     in_flight_.emplace(
@@ -514,14 +332,14 @@
 {
     while (auto* const next = front(p))
     {
-        auto const free = free_places(p, extra_places(next->call_), now);
+        auto const free = p.targets_.free_places(next->call_, now);
         if (free <= 0 || yields(p, next->item_.tier_, free))
         {
             return;
         }
         auto const request = next->item_.request_;
-        auto* const target = choose(p, next->call_, now);
-        if (target == nullptr && lacks_memory(p, next->call_, now))
+        auto* const target = p.targets_.choose(next->call_, now);
+        if (target == nullptr && p.targets_.lacks_memory(next->call_, now))
         {
             return;
         }
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -1,13 +1,9 @@
 #pragma once
 
-#include "src/base/random.hpp"
-#include "src/routing/peer_board.hpp"
 #include "src/routing/route.hpp"
-#include "src/routing/target_info.hpp"
-#include "src/routing/target_pace.hpp"
+#include "src/routing/target_choice.hpp"
 #include "src/sched/expiry_queue.hpp"
 #include "src/sched/fair_queue.hpp"
-#include "src/sched/target_health.hpp"
 #include "src/sched/types.hpp"
 
 #include <absl/container/flat_hash_map.h>
@@ -19,37 +15,6 @@
 namespace tanagerlead::routing
 {
 
-/// A request that wants a target.
-struct call_item
-{
-    sched::work_item work_;
-    /// Time to the answer, or to the first event, that counts as on time.
-    base::duration objective_{};
-    /// Targets that it was sent to; it goes to none of them again.
-    std::vector<base::target_id> tried_;
-    /// Of the part of the prompt that a later request may share; 0: none.
-    std::uint64_t affinity_ = 0;
-    /// Its route is of the first rank.
-    bool urgent_ = false;
-    /// Its caller has part of the answer, which is lost unless it goes on.
-    bool begun_ = false;
-};
-
-/// How a dispatched request ended at its target.
-enum class call_end : std::uint8_t
-{
-    finished,
-    /// The caller left, or its time was over.
-    cancelled,
-    /// No connection.
-    not_connected,
-    rejected,
-    /// Another target has its address: it is gone.
-    displaced,
-    /// An error, a broken connection, or silence.
-    failed,
-};
-
 /// Chooses order and targets for the requests of one daemon. Load it answers:
 /// more work than the fleet can do, at unlike targets that admit in order of
 /// arrival and know no tiers. Each target gets at most as many requests as it
@@ -105,20 +70,6 @@
                                base::time_point now);
 
 private:
-    struct target_record
-    {
-        target_info info_;
-        id_digest digest_{};
-        int own_ = 0;
-        /// Tokens of the own requests there.
-        base::token_count own_tokens_ = 0;
-        /// Its address belongs to another target; until it registers anew.
-        bool displaced_ = false;
-        target_pace pace_;
-        failure_rate failures_;
-        sched::target_health health_;
-    };
-
     struct waiting_call : sched::waiting_request
     {
         call_item call_;
@@ -137,6 +88,11 @@
 
     struct pool_record
     {
+        explicit pool_record(target_choice targets)
+            : targets_{std::move(targets)}
+        {
+        }
+
         id_digest digest_{};
         /// Requests that can still be on time, and late ones, which come after
         /// the others of their tier.
@@ -146,11 +102,7 @@
         /// Refused requests that are to come back.
         double booked_ = 0;
         base::time_point booked_at_{};
-        std::vector<target_record*> targets_;
-        /// Of one target; zero: not limited.
-        base::token_count memory_tokens_ = 0;
-        /// Mean tokens of a request, to judge what others run.
-        double mean_tokens_ = 0;
+        target_choice targets_;
         /// Mean time that a request holds a place.
         double place_seconds_ = 0;
     };
@@ -162,27 +114,6 @@
     void serve(pool_record& p, base::time_point now,
                std::vector<sched::action>& out);
     bool yields(pool_record const& p, base::tier tier, int free) const;
-    /// Places left for a request that may use `extra` beyond the target's own.
-    int free_places(target_record const& t, int extra,
-                    base::time_point now) const;
-    int free_places(pool_record const& p, int extra,
-                    base::time_point now) const;
-    static int extra_places(call_item const& call);
-    int places(pool_record const& p) const;
-    double mean_pace(pool_record const& p) const;
-    target_record* choose(pool_record const& p, call_item const& call,
-                          base::time_point now);
-    double cost(target_record const& t, call_item const& call,
-                double mean) const;
-    static bool has_memory(pool_record const& p, target_record const& t,
-                           int others, call_item const& call);
-    static target_record const* home_of(pool_record const& p,
-                                        std::uint64_t affinity);
-    static bool was_tried(call_item const& call, target_record const& t);
-    /// It waits for memory at a target that has a free place.
-    bool lacks_memory(pool_record const& p, call_item const& call,
-                      base::time_point now) const;
-    bool has_target(pool_record const& p, call_item const& call) const;
     /// Of one more request of that workspace and tier.
     base::duration expected_wait(pool_record const& p,
                                  base::workspace_id const& workspace,
@@ -190,7 +121,7 @@
     base::duration expected_wait(pool_record const& p, double ahead) const;
     void refuse(base::request_id request, sched::refusal_cause cause,
                 std::vector<sched::action>& out);
-    void take_place(target_record& target, call_item const& call,
+    void take_place(dispatch_target& target, call_item const& call,
                     base::time_point now);
     std::unique_ptr<waiting_call> remove(base::request_id request);
     base::duration longest_hold(call_item const& call,
@@ -199,7 +130,7 @@
     settings settings_;
     peer_board const& peers_;
     base::random_source random_;
-    std::map<base::target_id, target_record> targets_;
+    std::map<base::target_id, dispatch_target> targets_;
     std::map<base::pool_id, pool_record> pools_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_call>>
         waiting_;
--- /dev/null
+++ b/tests/routing/stall_limit_test.cpp
@@ -0,0 +1,59 @@
+#include "src/routing/stall_limit.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tanagerlead;
+using namespace std::chrono_literals;
+
+TEST_GROUP(stall_limit)
+{
+    routing::route route_;
+    routing::pool_latency usual_;
+
+    void setup() override
+    {
+        route_.kind_ = routing::route_kind::stream;
+        route_.resumable_ = true;
+        route_.most_attempts_ = 2;
+        route_.gap_objective_ = 400ms;
+    }
+
+    std::optional<base::duration> limit(
+        int events = 0, base::token_count prompt = 0, int attempts = 1) const
+    {
+        return routing::stall_limit({attempts, events, prompt}, route_, usual_);
+    }
+};
+
+TEST(stall_limit, none_for_what_may_not_be_sent_again)
+{
+    CHECK(limit().has_value());
+    CHECK_FALSE(limit(0, 0, 2).has_value());
+    route_.kind_ = routing::route_kind::non_idempotent;
+    CHECK_FALSE(limit().has_value());
+}
+
+TEST(stall_limit, leaves_time_to_read_the_prompt)
+{
+    constexpr base::token_count long_prompt = 50'000;
+    CHECK(*limit(0, long_prompt) ==
+          *limit() + routing::prompt_time(long_prompt));
+}
+
+TEST(stall_limit, follows_the_usual_times_within_bounds)
+{
+    for (int i = 0; i < 100; ++i)
+    {
+        usual_.first_.observe(100ms);
+        usual_.gap_.observe(1ms);
+    }
+    CHECK(*limit() >= 300ms);
+    CHECK(*limit() < 500ms);
+    // A stream that goes on within its longest pause is on time.
+    CHECK(*limit(1) == 240ms);
+    for (int i = 0; i < 100; ++i)
+    {
+        usual_.gap_.observe(10s);
+    }
+    CHECK(*limit(1) <= 1200ms);
+}
