--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -1,11 +1,12 @@
 #include "tests/process/child_process.hpp"
 
+#include "tests/process/spawn.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <cstdio>
 #include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -47,32 +48,15 @@
     {
         return;
     }
-    std::vector<char*> argv{const_cast<char*>(program.c_str())};
-    for (auto const& argument : arguments)
-    {
-        argv.push_back(const_cast<char*>(argument.c_str()));
-    }
-    argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    if (std::getenv("TANAGERLEAD_TEST_LOGS") == nullptr)
-    {
-        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null",
-                                         O_WRONLY, 0);
-    }
-    auto const failed = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-                                      argv.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
+    auto const quiet = std::getenv("TANAGERLEAD_TEST_LOGS") == nullptr;
+    auto const errors = quiet ? ::open("/dev/null", O_WRONLY | O_CLOEXEC) : -1;
+    pid_ = spawn(program, arguments, ends[1], errors);
+    ::close(errors);
     ::close(ends[1]);
-    if (failed == 0)
+    if (pid_ > 0)
     {
         read_ready_line(ends[0]);
     }
-    else
-    {
-        pid_ = -1;
-    }
     ::close(ends[0]);
 }
 
--- /dev/null
+++ b/tests/soak/platform_store.cpp
@@ -0,0 +1,274 @@
+#include "tests/soak/platform_store.hpp"
+
+#include "src/base/base64.hpp"
+#include "src/http/url.hpp"
+
+namespace tanagerlead::soak
+{
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr base::duration look_interval = 20ms;
+
+void send(std::shared_ptr<net::caller_connection> const& to, int status,
+          json const& body)
+{
+    net::http_response response;
+    response.status_ = status;
+    response.body_ = body.dump();
+    to->answer(response);
+}
+
+std::uint64_t number_after(std::string const& target, std::string_view prefix)
+{
+    return std::stoull(target.substr(prefix.size()));
+}
+
+} // namespace
+
+platform_store::platform_store(net::asio::io_context& loop)
+    : listener_{loop, 1000,
+                [this](connection_ptr const& from, net::http_request const& in)
+                {
+                    on_request(from, in);
+                }},
+      alarm_{loop, [this]
+             {
+                 on_alarm();
+             }}
+{
+    alarm_.set_after(look_interval);
+}
+
+void platform_store::on_request(connection_ptr const& from,
+                                net::http_request const& in)
+{
+    auto const& target = in.target_;
+    if (fault_ == store_fault::refuses)
+    {
+        send(from, 503, {});
+    }
+    else if (target.starts_with("/v1/kv-range"))
+    {
+        send(from, 200, range(target));
+    }
+    else if (target.starts_with("/v1/kv-watch"))
+    {
+        watch(from, target);
+    }
+    else if (target == "/v1/kv-txn")
+    {
+        auto const answer = transaction(in.body_);
+        send(from, answer.is_null() ? 404 : 200, answer);
+    }
+    else if (target == "/v1/kv-lease")
+    {
+        send(from, 200, lease(in.body_));
+    }
+    else if (target.starts_with("/v1/kv-keep/"))
+    {
+        auto const held = renew(number_after(target, "/v1/kv-keep/"));
+        send(from, held ? 200 : 404, json::object());
+    }
+    else if (target.starts_with("/v1/kv-lease-end/"))
+    {
+        end_lease(number_after(target, "/v1/kv-lease-end/"));
+        send(from, 200, json::object());
+    }
+    else
+    {
+        send(from, 404, json::object());
+    }
+}
+
+json platform_store::range(std::string const& target) const
+{
+    constexpr std::size_t page = 3;
+    auto const prefix = http::query_parameter(target, "Prefix").value_or("");
+    auto const after = http::query_parameter(target, "After").value_or("");
+    auto found = json::array();
+    bool more = false;
+    for (auto const& [key, held] : items_)
+    {
+        if (!key.starts_with(prefix) || key <= after)
+        {
+            continue;
+        }
+        more = found.size() == page;
+        if (more)
+        {
+            break;
+        }
+        found.push_back({{"Key", key},
+                         {"Value", base::base64_encode(held.value_)},
+                         {"Revision", held.revision_}});
+    }
+    return {{"Items", found}, {"HasMore", more}, {"CurrentRev", revision_}};
+}
+
+json platform_store::transaction(std::string const& body)
+{
+    auto const in = json::parse(body);
+    for (auto const& each : in.at("Puts"))
+    {
+        auto const lease = each.at("Lease").get<std::uint64_t>();
+        if (lease != 0 && !leases_.contains(lease))
+        {
+            return {};
+        }
+        write(each.at("Key").get<std::string>(),
+              base::base64_decode(each.at("Value").get<std::string>())
+                  .value_or(""),
+              lease);
+    }
+    return {{"Revision", revision_}};
+}
+
+json platform_store::lease(std::string const& body)
+{
+    auto const ms = json::parse(body).at("TtlMs").get<std::int64_t>();
+    auto const id = next_lease_++;
+    lease_times_[id] = std::chrono::milliseconds{ms};
+    leases_[id] = net::now() + lease_times_[id];
+    return {{"Lease", id}, {"TtlMs", ms}};
+}
+
+bool platform_store::renew(std::uint64_t lease)
+{
+    auto const held = leases_.find(lease);
+    if (held == leases_.end())
+    {
+        return false;
+    }
+    held->second = net::now() + lease_times_.at(lease);
+    return true;
+}
+
+void platform_store::end_lease(std::uint64_t lease)
+{
+    leases_.erase(lease);
+    std::vector<std::string> gone;
+    for (auto const& [key, held] : items_)
+    {
+        if (held.lease_ == lease)
+        {
+            gone.push_back(key);
+        }
+    }
+    for (auto const& key : gone)
+    {
+        remove(key);
+    }
+}
+
+void platform_store::put(std::string const& key, std::string const& value)
+{
+    write(key, value, 0);
+}
+
+void platform_store::write(std::string const& key, std::string const& value,
+                           std::uint64_t lease)
+{
+    items_[key] = {value, ++revision_, lease};
+    history_.push_back({revision_, key, false});
+    tell_watches();
+}
+
+void platform_store::remove(std::string const& key)
+{
+    if (items_.erase(key) > 0)
+    {
+        history_.push_back({++revision_, key, true});
+        tell_watches();
+    }
+}
+
+json platform_store::events(std::string const& prefix,
+                            std::uint64_t after) const
+{
+    auto found = json::array();
+    for (auto const& each : history_)
+    {
+        if (each.revision_ <= after || !each.key_.starts_with(prefix))
+        {
+            continue;
+        }
+        json event{{"Key", each.key_}, {"Revision", each.revision_}};
+        auto const now = items_.find(each.key_);
+        // An item that was written again is told with its later revision.
+        if (!each.removed_ &&
+            (now == items_.end() || now->second.revision_ != each.revision_))
+        {
+            continue;
+        }
+        if (each.removed_)
+        {
+            event["Deleted"] = true;
+        }
+        else
+        {
+            event["Value"] = base::base64_encode(now->second.value_);
+        }
+        found.push_back(std::move(event));
+    }
+    return found;
+}
+
+void platform_store::watch(connection_ptr const& from,
+                           std::string const& target)
+{
+    if (fault_ == store_fault::forgets)
+    {
+        send(from, 410, json::object());
+        return;
+    }
+    auto const text = [&](char const* name)
+    {
+        return http::query_parameter(target, name).value_or("0");
+    };
+    watches_.push_back(
+        {from, text("Prefix"), std::stoull(text("After")),
+         net::now() + std::chrono::milliseconds{std::stoll(text("WaitMs"))}});
+    tell_watches();
+}
+
+void platform_store::tell_watches()
+{
+    auto const now = net::now();
+    for (auto each = watches_.begin(); each != watches_.end();)
+    {
+        auto const found = events(each->prefix_, each->after_);
+        if (found.empty() && now < each->until_)
+        {
+            ++each;
+            continue;
+        }
+        send(each->to_, 200, {{"events", found}, {"CurrentRev", revision_}});
+        each = watches_.erase(each);
+    }
+}
+
+void platform_store::on_alarm()
+{
+    auto const now = net::now();
+    std::vector<std::uint64_t> lapsed;
+    for (auto const& [lease, until] : leases_)
+    {
+        if (until < now)
+        {
+            lapsed.push_back(lease);
+        }
+    }
+    for (auto const lease : lapsed)
+    {
+        end_lease(lease);
+    }
+    tell_watches();
+    alarm_.set_after(look_interval);
+}
+
+} // namespace tanagerlead::soak
--- /dev/null
+++ b/tests/soak/platform_store.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "src/net/http_listener.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <list>
+#include <map>
+
+namespace tanagerlead::soak
+{
+
+/// How the stand-in misbehaves.
+enum class store_fault : std::uint8_t
+{
+    none,
+    /// 503 to every call.
+    refuses,
+    /// Its history is gone at each watch.
+    forgets,
+};
+
+/// A stand-in for the platform's store: keys with revisions, leases, watches.
+class platform_store
+{
+public:
+    explicit platform_store(net::asio::io_context& loop);
+
+    base::result<void> start() { return listener_.listen({"127.0.0.1", 0}); }
+    base::address address() const { return listener_.local_address(); }
+
+    /// As another writer.
+    void put(std::string const& key, std::string const& value);
+    void remove(std::string const& key);
+    void set_fault(store_fault fault) { fault_ = fault; }
+
+private:
+    using connection_ptr = std::shared_ptr<net::caller_connection>;
+
+    struct item
+    {
+        std::string value_;
+        std::uint64_t revision_ = 0;
+        std::uint64_t lease_ = 0;
+    };
+    struct change
+    {
+        std::uint64_t revision_ = 0;
+        std::string key_;
+        bool removed_ = false;
+    };
+    struct waiting_watch
+    {
+        connection_ptr to_;
+        std::string prefix_;
+        std::uint64_t after_ = 0;
+        base::time_point until_{};
+    };
+
+    void on_request(connection_ptr const& from, net::http_request const& in);
+    nlohmann::json range(std::string const& target) const;
+    nlohmann::json transaction(std::string const& body);
+    nlohmann::json lease(std::string const& body);
+    bool renew(std::uint64_t lease);
+    void watch(connection_ptr const& from, std::string const& target);
+    nlohmann::json events(std::string const& prefix, std::uint64_t after) const;
+    void write(std::string const& key, std::string const& value,
+               std::uint64_t lease);
+    void end_lease(std::uint64_t lease);
+    void tell_watches();
+    void on_alarm();
+
+    net::http_listener listener_;
+    net::alarm alarm_;
+    std::map<std::string, item> items_;
+    std::vector<change> history_;
+    std::map<std::uint64_t, base::time_point> leases_;
+    std::map<std::uint64_t, base::duration> lease_times_;
+    std::list<waiting_watch> watches_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t next_lease_ = 1;
+    store_fault fault_ = store_fault::none;
+};
+
+} // namespace tanagerlead::soak
--- /dev/null
+++ b/tests/soak/platform_target.cpp
@@ -0,0 +1,166 @@
+#include "tests/soak/platform_target.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace tanagerlead::soak
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t most_runs = 12;
+constexpr base::duration plain_time = 8ms;
+constexpr base::duration event_time = 10ms;
+
+std::string text_of(net::http_request const& in, char const* name)
+{
+    auto const* const found = in.headers_.find(name);
+    return found == nullptr ? std::string{} : *found;
+}
+
+net::http_response head_for(std::string const& id)
+{
+    net::http_response head;
+    head.status_ = 200;
+    head.headers_.add("Tanagerlead-Request-Id", id);
+    head.headers_.add("Tanagerlead-Server-Signature", "proof-" + id);
+    return head;
+}
+
+} // namespace
+
+std::string expected_body(std::string const& id)
+{
+    return "the answer to " + id;
+}
+
+int expected_events(std::string const& id)
+{
+    constexpr int least = 3;
+    constexpr std::size_t most_more = 12;
+    return least + static_cast<int>(std::hash<std::string>{}(id) % most_more);
+}
+
+platform_target::platform_target(net::asio::io_context& loop, ledger& told,
+                                 int number)
+    : loop_{loop}, told_{told}, number_{number}, listener_{
+                                                     loop, 1000,
+                                                     [this](auto const& from,
+                                                            auto const& in)
+                                                     {
+                                                         on_request(from, in);
+                                                     }}
+{
+}
+
+base::result<void> platform_target::start()
+{
+    id_ = "t" + std::to_string(number_) + "-" + std::to_string(++life_);
+    auto listening = listener_.listen(address_);
+    if (listening)
+    {
+        address_ = listener_.local_address();
+    }
+    return listening;
+}
+
+void platform_target::crash()
+{
+    listener_.stop_accepting();
+    runs_.clear();
+    listener_.abort_all();
+}
+
+void platform_target::restart()
+{
+    if (auto const listening = start(); !listening)
+    {
+        told_.fail("stand-in " + id_ + ": " + listening.error().str());
+    }
+}
+
+void platform_target::refuse(connection_ptr const& from, int status,
+                             std::string const& id)
+{
+    net::http_response response;
+    response.status_ = status;
+    response.headers_.add("Tanagerlead-Request-Id", id);
+    response.headers_.add("Tanagerlead-Not-Executed", "1");
+    from->answer(response);
+}
+
+void platform_target::on_request(connection_ptr const& from,
+                                 net::http_request const& in)
+{
+    auto const id = text_of(in, "Tanagerlead-Request-Id");
+    if (text_of(in, "Tanagerlead-Target-Instance") != id_)
+    {
+        refuse(from, 421, id);
+        return;
+    }
+    if (runs_.size() >= most_runs)
+    {
+        refuse(from, 503, id);
+        return;
+    }
+    told_.on_run(id);
+    auto const fresh = std::make_shared<run>(run{from, id, 1, nullptr});
+    auto* const r = fresh.get();
+    runs_.emplace(r, fresh);
+    from->on_left([this, r] { end(*r); });
+    if (in.target_.starts_with("/stream/"))
+    {
+        auto const last = text_of(in, "Last-Event-Id");
+        r->next_event_ = last.empty() ? 1 : std::stoi(last) + 1;
+        auto head = head_for(id);
+        head.headers_.add("Content-Type", "text/event-stream");
+        from->begin_answer(head);
+        r->due_ = std::make_unique<net::alarm>(loop_,
+                                               [this, r] { answer_event(*r); });
+        r->due_->set_after(event_time);
+        return;
+    }
+    r->due_ =
+        std::make_unique<net::alarm>(loop_, [this, r] { answer_plain(*r); });
+    r->due_->set_after(plain_time);
+}
+
+void platform_target::answer_plain(run& r)
+{
+    auto response = head_for(r.id_);
+    response.body_ = expected_body(r.id_);
+    auto const to = r.to_;
+    end(r);
+    to->answer(response);
+}
+
+void platform_target::answer_event(run& r)
+{
+    auto const to = r.to_;
+    if (r.next_event_ > expected_events(r.id_))
+    {
+        end(r);
+        to->end_answer();
+        return;
+    }
+    auto const number = std::to_string(r.next_event_);
+    to->send_piece("id: " + number + "\ndata: " + r.id_ + " " + number +
+                   "\n\n");
+    ++r.next_event_;
+    r.due_->set_after(event_time);
+}
+
+// Its alarm may be ringing.
+void platform_target::end(run& r)
+{
+    auto const found = runs_.find(&r);
+    if (found != runs_.end())
+    {
+        net::asio::post(loop_, [ended = found->second] {});
+        runs_.erase(found);
+    }
+}
+
+} // namespace tanagerlead::soak
--- /dev/null
+++ b/tests/soak/soak_caller.cpp
@@ -0,0 +1,231 @@
+#include "tests/soak/soak_caller.hpp"
+
+#include "tests/soak/platform_target.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace tanagerlead::soak
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr base::duration time_limit = 3s;
+/// For the last bytes and a busy machine.
+constexpr base::duration late_margin = 2s;
+constexpr base::duration directory_patience = 1s;
+constexpr base::duration connect_patience = 1s;
+constexpr int directory_tries = 3;
+
+} // namespace
+
+soak_caller::soak_caller(net::asio::io_context& loop, soak_fleet const& fleet,
+                         ledger& told, int number, std::uint64_t seed)
+    : loop_{loop}, fleet_{fleet}, told_{told}, number_{number}, random_{seed},
+      client_{loop}, next_{loop,
+                           [this]
+                           {
+                               begin();
+                           }},
+      late_{loop, [this]
+            {
+                on_late();
+            }}
+{
+}
+
+soak_caller::~soak_caller()
+{
+    if (channel_)
+    {
+        channel_->close();
+    }
+}
+
+base::duration soak_caller::pause()
+{
+    constexpr double mean_seconds = 0.03;
+    return base::from_seconds(2 * mean_seconds * random_.uniform());
+}
+
+void soak_caller::begin()
+{
+    if (stopping_)
+    {
+        return;
+    }
+    if (channel_ && channel_->is_reusable())
+    {
+        send();
+        return;
+    }
+    if (net::now() < keep_until_ && !addresses_.empty())
+    {
+        connect();
+        return;
+    }
+    ask(directory_tries);
+}
+
+void soak_caller::ask(int tries_left)
+{
+    auto const all = fleet_.directories();
+    if (tries_left == 0 || all.empty())
+    {
+        next_.set_after(pause());
+        return;
+    }
+    net::http_request request{
+        "GET", "/v1/resolve?Name=soak.example&Region=r&Zone=z0", {}, {}};
+    request.headers_.add("Host", "directory");
+    client_.call(all[random_.below(all.size())], "resolve", std::move(request),
+                 {directory_patience},
+                 [this, tries_left](auto const& answer)
+                 { on_answer_where(answer, tries_left); });
+}
+
+void soak_caller::on_answer_where(
+    base::result<net::http_response> const& answer, int tries_left)
+{
+    if (!answer || answer.value().status_ != 200)
+    {
+        ask(tries_left - 1);
+        return;
+    }
+    auto const body = nlohmann::json::parse(answer.value().body_);
+    addresses_.clear();
+    for (auto const& each : body.at("Addresses"))
+    {
+        addresses_.push_back(
+            base::parse_address(each.get<std::string>()).value());
+    }
+    keep_until_ =
+        net::now() + base::from_seconds(body.at("TtlS").get<double>());
+    connect();
+}
+
+void soak_caller::connect()
+{
+    channel_ = std::make_shared<net::channel>(
+        loop_, addresses_[random_.below(addresses_.size())]);
+    channel_->connect(connect_patience,
+                      [this](net::error_code const& error)
+                      {
+                          if (error)
+                          {
+                              // It avoids addresses that failed it.
+                              std::erase(addresses_, channel_->peer());
+                              next_.set_after(pause());
+                              return;
+                          }
+                          send();
+                      });
+}
+
+void soak_caller::send()
+{
+    static constexpr std::array paths{"/plain/", "/post/", "/stream/"};
+    kind_ = static_cast<request_kind>(random_.below(paths.size()));
+    id_ = "c" + std::to_string(number_) + "-" + std::to_string(++count_);
+    sent_at_ = net::now();
+    answer_ = {};
+    told_.on_sent(id_, kind_, number_ % 2 != 0);
+    net::http_request request{
+        "POST",
+        std::string{paths.at(static_cast<std::size_t>(kind_))} + id_,
+        {},
+        "body of " + id_};
+    request.headers_.add("Host", "soak.example");
+    request.headers_.add("Tanagerlead-Request-Id", id_);
+    request.headers_.add(
+        "Tanagerlead-Deadline-Ms",
+        std::to_string(static_cast<int>(base::milliseconds(time_limit))));
+    request.headers_.add("X-Api-Key", number_ % 2 == 0 ? "key-a" : "key-b");
+    late_.set_after(time_limit + late_margin);
+    channel_->exchange(request, *this);
+}
+
+net::head_verdict soak_caller::on_head(net::http_response const& head)
+{
+    answer_ = head;
+    return net::head_verdict::accept;
+}
+
+void soak_caller::on_body(std::string_view bytes)
+{
+    answer_.body_.append(bytes);
+}
+
+void soak_caller::on_complete()
+{
+    if (answer_.status_ == 200)
+    {
+        check_whole();
+    }
+    finish(answer_.status_);
+}
+
+void soak_caller::check_whole()
+{
+    auto const* const echoed = answer_.headers_.find("Tanagerlead-Request-Id");
+    if (echoed == nullptr || *echoed != id_)
+    {
+        told_.fail("request " + id_ + " got an answer of another");
+        return;
+    }
+    if (kind_ == request_kind::stream)
+    {
+        check_events();
+    }
+    else if (answer_.body_ != expected_body(id_))
+    {
+        told_.fail("request " + id_ + " got another body: " + answer_.body_);
+    }
+}
+
+void soak_caller::check_events()
+{
+    std::string whole;
+    for (int i = 1; i <= expected_events(id_); ++i)
+    {
+        auto const number = std::to_string(i);
+        whole.append("id: ").append(number).append("\ndata: ");
+        whole.append(id_).append(" ").append(number).append("\n\n");
+    }
+    if (answer_.body_ != whole)
+    {
+        told_.fail("stream " + id_ +
+                   " ended and was not whole: " + answer_.body_);
+    }
+}
+
+void soak_caller::on_broken(std::string const& /*detail*/)
+{
+    finish(0);
+}
+
+void soak_caller::on_late()
+{
+    auto const daemon = channel_->peer();
+    if (fleet_.ran_since(daemon, sent_at_))
+    {
+        told_.fail("request " + id_ + " was held past its time at " +
+                   daemon.str());
+    }
+    channel_->close();
+    finish(0);
+}
+
+void soak_caller::finish(int status)
+{
+    late_.clear();
+    told_.on_end(std::exchange(id_, {}), status);
+    next_.set_after(pause());
+}
+
+} // namespace tanagerlead::soak
--- /dev/null
+++ b/tests/soak/soak_caller.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "src/base/random.hpp"
+#include "src/net/http_client.hpp"
+#include "tests/soak/ledger.hpp"
+
+namespace tanagerlead::soak
+{
+
+/// What callers know of the fleet.
+class soak_fleet
+{
+public:
+    virtual ~soak_fleet() = default;
+    /// Where the daemons answer where to connect.
+    virtual std::vector<base::address> directories() const = 0;
+    /// Whether the daemon at this address has run without a pause since then.
+    virtual bool ran_since(base::address const& callers,
+                           base::time_point when) const = 0;
+};
+
+/// One caller: asks where to connect, sends one request after the other on a
+/// connection for as long as it lasts, and checks what it gets.
+class soak_caller final : public net::answer_sink
+{
+public:
+    /// All outlive it.
+    soak_caller(net::asio::io_context& loop, soak_fleet const& fleet,
+                ledger& told, int number, std::uint64_t seed);
+    ~soak_caller() override;
+    soak_caller(soak_caller const&) = delete;
+    soak_caller& operator=(soak_caller const&) = delete;
+
+    void start() { next_.set_after({}); }
+    /// After the present request.
+    void stop() { stopping_ = true; }
+    bool is_idle() const { return id_.empty(); }
+
+private:
+    net::head_verdict on_head(net::http_response const& head) override;
+    void on_body(std::string_view bytes) override;
+    void on_complete() override;
+    void on_broken(std::string const& detail) override;
+
+    void begin();
+    void ask(int tries_left);
+    void on_answer_where(base::result<net::http_response> const& answer,
+                         int tries_left);
+    void connect();
+    void send();
+    void check_whole();
+    void check_events();
+    void finish(int status);
+    void on_late();
+    base::duration pause();
+
+    net::asio::io_context& loop_;
+    soak_fleet const& fleet_;
+    ledger& told_;
+    int number_;
+    base::random_source random_;
+    net::http_client client_;
+    net::alarm next_;
+    net::alarm late_;
+    std::vector<base::address> addresses_;
+    base::time_point keep_until_{};
+    std::shared_ptr<net::channel> channel_;
+    request_kind kind_ = request_kind::idempotent;
+    /// Of the request under way.
+    std::string id_;
+    int count_ = 0;
+    base::time_point sent_at_{};
+    net::http_response answer_;
+    bool stopping_ = false;
+};
+
+} // namespace tanagerlead::soak
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,86 @@
+#include "tests/soak/soak_run.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+
+ABSL_FLAG(std::string, program, "", "path of tanagerlead_entryd");
+ABSL_FLAG(std::string, folder, "", "where settings and logs go");
+ABSL_FLAG(std::uint64_t, first_seed, 1, "seed of the first run");
+ABSL_FLAG(int, seeds, 1, "runs, each with the next seed");
+ABSL_FLAG(double, seconds, 15, "time with faults in each run");
+ABSL_FLAG(int, fault_interval_ms, 400, "mean time between two faults");
+ABSL_FLAG(bool, story, false, "tell each fault");
+
+namespace
+{
+
+namespace soak = tanagerlead::soak;
+
+/// Whether all promises were kept.
+bool run_seed(std::uint64_t seed)
+{
+    soak::soak_settings settings;
+    settings.seed_ = seed;
+    settings.length_ =
+        tanagerlead::base::from_seconds(absl::GetFlag(FLAGS_seconds));
+    settings.fault_interval_ =
+        std::chrono::milliseconds{absl::GetFlag(FLAGS_fault_interval_ms)};
+    settings.program_ = absl::GetFlag(FLAGS_program);
+    settings.folder_ =
+        absl::GetFlag(FLAGS_folder) + "/seed-" + std::to_string(seed);
+    std::filesystem::remove_all(settings.folder_);
+    std::filesystem::create_directories(settings.folder_);
+    soak::soak_run run{settings};
+    auto const& broken = run.play();
+    if (absl::GetFlag(FLAGS_story) || !broken.empty())
+    {
+        for (auto const& line : run.story())
+        {
+            std::printf("  %s\n", line.c_str());
+        }
+    }
+    std::printf("seed %llu: %llu requests, %llu of %llu without a quota "
+                "answered, %zu promises broken\n",
+                static_cast<unsigned long long>(seed),
+                static_cast<unsigned long long>(run.told().sent()),
+                static_cast<unsigned long long>(run.told().free_answered()),
+                static_cast<unsigned long long>(run.told().free_sent()),
+                broken.size());
+    for (auto const& line : broken)
+    {
+        std::printf("  BROKEN: %s\n", line.c_str());
+    }
+    std::fflush(stdout);
+    if (broken.empty())
+    {
+        std::filesystem::remove_all(settings.folder_);
+    }
+    return broken.empty();
+}
+
+} // namespace
+
+/// Plays faults on real daemons and checks what callers and targets see.
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "soak --program=PATH --folder=DIR [--first_seed=N] [--seeds=N] "
+        "[--seconds=S]\nExit codes: 0 all promises kept, 1 one was broken. "
+        "Logs of failed seeds stay in the folder.");
+    absl::ParseCommandLine(argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    int failed = 0;
+    for (int i = 0; i < absl::GetFlag(FLAGS_seeds); ++i)
+    {
+        auto const seed =
+            absl::GetFlag(FLAGS_first_seed) + static_cast<std::uint64_t>(i);
+        failed += run_seed(seed) ? 0 : 1;
+    }
+    std::printf("%d of %d seeds failed\n", failed, absl::GetFlag(FLAGS_seeds));
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,591 @@
+#include "tests/soak/soak_run.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <unistd.h>
+
+namespace tanagerlead::soak
+{
+
+using namespace std::chrono_literals;
+using fakes::relay_action;
+using fakes::relay_direction;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr base::duration look_interval = 20ms;
+constexpr base::duration version_interval = 200ms;
+/// Until all daemons are ready at first.
+constexpr base::duration longest_start = 10s;
+/// After the last fault, before callers must be served again.
+constexpr base::duration recovery_time = 6s;
+constexpr base::duration recovery_watch = 2s;
+constexpr double least_served = 0.9;
+/// Until a new version is in force, without faults.
+constexpr base::duration longest_rollout = 3s;
+/// Of a process that is told to reload.
+constexpr base::duration least_life = 200ms;
+/// Beyond the grace period, on a busy machine.
+constexpr base::duration stop_margin = 1500ms;
+
+/// Loopback addresses that no other run uses at the same time.
+std::string ip_of(std::uint64_t seed, int number)
+{
+    constexpr int nets = 250;
+    return "127." + std::to_string(1 + ::getpid() % nets) + "." +
+           std::to_string(1 + seed % nets) + "." + std::to_string(number + 1);
+}
+
+json route(char const* name, char const* prefix, char const* kind)
+{
+    return {{"Name", name},      {"Host", "soak.example"},
+            {"Prefix", prefix},  {"Kind", kind},
+            {"Service", "pool"}, {"MaxAttempts", most_attempts},
+            {"TimeoutMs", 3000}, {"TargetLatencyMs", 500},
+            {"GapAimMs", 400},   {"ResumeStreams", true}};
+}
+
+} // namespace
+
+soak_run::fault_row const soak_run::faults_[] = {
+    {"kill a daemon", &soak_run::kill_daemon},
+    {"freeze a daemon", &soak_run::freeze_daemon},
+    {"stop a daemon", &soak_run::stop_daemon},
+    {"reload a daemon", &soak_run::reload_daemon},
+    {"cut a daemon's store", &soak_run::cut_store},
+    {"silence a daemon's store", &soak_run::silence_store},
+    {"delay a daemon's store", &soak_run::delay_store},
+    {"store refuses", &soak_run::refuse_at_store},
+    {"store forgets", &soak_run::forget_at_store},
+    {"crash a target", &soak_run::crash_target},
+    {"cut a target", &soak_run::cut_target},
+    {"silence a target", &soak_run::silence_target},
+    {"delay a target", &soak_run::delay_target},
+    {"drain a target", &soak_run::drain_target},
+    {"change the configuration", &soak_run::change_configuration},
+};
+
+soak_run::soak_run(soak_settings settings)
+    : settings_{std::move(settings)}, random_{settings_.seed_},
+      fault_alarm_{loop_,
+                   [this]
+                   {
+                       next_fault();
+                   }},
+      look_alarm_{loop_,
+                  [this]
+                  {
+                      look_at_daemons();
+                  }},
+      version_alarm_{loop_, [this]
+                     {
+                         ask_versions();
+                     }}
+{
+}
+
+soak_run::~soak_run() = default;
+
+std::vector<std::string> const& soak_run::play()
+{
+    start();
+    run_for(settings_.length_);
+    lift_faults();
+    check_recovery();
+    check_versions();
+    for (auto& caller : callers_)
+    {
+        caller.stop();
+    }
+    run_until(
+        [this]
+        {
+            return std::all_of(callers_.begin(), callers_.end(),
+                               [](auto const& c) { return c.is_idle(); });
+        },
+        10s);
+    auto const seconds = base::seconds(net::now() - began_);
+    stop_all();
+    ledger_.close(seconds);
+    return ledger_.broken();
+}
+
+void soak_run::start()
+{
+    store_.start().value();
+    for (int i = 0; i < settings_.targets_; ++i)
+    {
+        auto target = std::make_unique<platform_target>(loop_, ledger_, i);
+        target->start().value();
+        auto relay = std::make_unique<fakes::relay>(
+            base::address{"127.0.0.1", 0}, target->address());
+        relay->start().value();
+        targets_.push_back({std::move(target), std::move(relay), true});
+        write_target(targets_.back(), "ready");
+    }
+    write_configuration();
+    for (int i = 0; i < settings_.daemons_; ++i)
+    {
+        daemons_.emplace_back(i, ip_of(settings_.seed_, i), store_.address());
+        start_daemon(daemons_.back());
+    }
+    look_alarm_.set_after(look_interval);
+    version_alarm_.set_after(version_interval);
+    auto const all_ready = [this]
+    {
+        return std::all_of(daemons_.begin(), daemons_.end(),
+                           [](auto const& d) { return d.version_ > 0; });
+    };
+    if (!run_until(all_ready, longest_start))
+    {
+        ledger_.fail("the daemons did not start");
+    }
+    began_ = net::now();
+    for (int i = 0; i < settings_.callers_; ++i)
+    {
+        callers_.emplace_back(loop_, *this, ledger_, i, random_());
+        callers_.back().start();
+    }
+    fault_alarm_.set_after(settings_.fault_interval_);
+}
+
+void soak_run::start_daemon(daemon_process& d)
+{
+    d.start(settings_.program_, settings_.folder_,
+            {ip_of(settings_.seed_, 0), ip_of(settings_.seed_, 1)});
+}
+
+void soak_run::write_configuration()
+{
+    version_ += 1 + random_.below(3);
+    json document{{"Version", version_},
+                  {"Routes",
+                   {route("plain", "/plain/", "idempotent"),
+                    route("post", "/post/", "non_idempotent"),
+                    route("stream", "/stream/", "stream")}},
+                  {"Services", {{{"Name", "pool"}}}},
+                  {"Tenants",
+                   {{{"Name", "a"}, {"ApiKeys", {"key-a"}}},
+                    {{"Name", "b"},
+                     {"ApiKeys", {"key-b"}},
+                     {"RatePerS", quota_rate},
+                     {"Burst", quota_burst}}}}};
+    store_.put("op/config", document.dump());
+}
+
+void soak_run::write_target(target_place const& place, char const* state)
+{
+    json const entry{
+        {"Service", "pool"}, {"Address", place.relay_->address().str()},
+        {"Zone", "z0"},      {"Version", "1"},
+        {"Slots", 8},        {"State", state},
+        {"Seq", 1}};
+    store_.put("servers/" + place.target_->id(), entry.dump());
+}
+
+void soak_run::run_for(base::duration length)
+{
+    run_until([] { return false; }, length);
+}
+
+bool soak_run::run_until(std::function<bool()> const& reached,
+                         base::duration most)
+{
+    auto const until = net::now() + most;
+    while (!reached() && net::now() < until)
+    {
+        loop_.run_one_for(10ms);
+    }
+    return reached();
+}
+
+void soak_run::after(base::duration delay, std::function<void()> act)
+{
+    auto const timer = std::make_shared<net::asio::steady_timer>(loop_, delay);
+    timer->async_wait([timer, act = std::move(act)](net::error_code const&)
+                      { act(); });
+}
+
+base::duration soak_run::between(base::duration least, base::duration most)
+{
+    return base::from_seconds(base::seconds(least) +
+                              random_.uniform() * base::seconds(most - least));
+}
+
+daemon_process& soak_run::any_daemon()
+{
+    return daemons_[random_.below(daemons_.size())];
+}
+
+soak_run::target_place& soak_run::any_target()
+{
+    return targets_[random_.below(targets_.size())];
+}
+
+std::string soak_run::name_of(daemon_process const& d)
+{
+    return "d" + std::to_string(d.number());
+}
+
+void soak_run::note(std::string const& what)
+{
+    story_.push_back(std::to_string(base::milliseconds(net::now() - began_)) +
+                     " ms " + what);
+}
+
+void soak_run::next_fault()
+{
+    if (ending_)
+    {
+        return;
+    }
+    auto const& row = faults_[random_.below(std::size(faults_))];
+    auto const whom = (this->*row.act_)();
+    note(row.name_ + std::string{whom.empty() ? ": nothing to do" : ": "} +
+         whom);
+    fault_alarm_.set_after(between({}, 2 * settings_.fault_interval_));
+}
+
+std::string soak_run::kill_daemon()
+{
+    auto& d = any_daemon();
+    if (d.is_up())
+    {
+        d.was_killed_ = true;
+        d.signal(SIGKILL);
+    }
+    return name_of(d);
+}
+
+std::string soak_run::freeze_daemon()
+{
+    auto& d = any_daemon();
+    d.signal(SIGSTOP);
+    after(between(200ms, 3s), [&d] { d.signal(SIGCONT); });
+    return name_of(d);
+}
+
+std::string soak_run::stop_daemon()
+{
+    auto& d = any_daemon();
+    if (d.is_up() && !d.stopped_at_)
+    {
+        d.stopped_at_ = net::now();
+    }
+    d.signal(SIGTERM);
+    return name_of(d);
+}
+
+std::string soak_run::reload_daemon()
+{
+    auto& d = any_daemon();
+    // No program handles a signal before it runs.
+    if (net::now() - d.calm_since() < least_life)
+    {
+        return {};
+    }
+    d.signal(SIGHUP);
+    return name_of(d);
+}
+
+std::string soak_run::cut_store()
+{
+    auto& d = any_daemon();
+    d.store_relay().apply({relay_action::cut, {}, false, {}});
+    return name_of(d);
+}
+
+std::string soak_run::silence_store()
+{
+    auto& d = any_daemon();
+    static constexpr std::array ways{
+        relay_direction::both, relay_direction::forward, relay_direction::back};
+    d.store_relay().apply(
+        {relay_action::silence, ways.at(random_.below(ways.size())), true, {}});
+    after(between(500ms, 5s),
+          [&d] {
+              d.store_relay().apply({relay_action::restore, {}, true, {}});
+          });
+    return name_of(d);
+}
+
+std::string soak_run::delay_store()
+{
+    auto& d = any_daemon();
+    d.store_relay().apply(
+        {relay_action::delay, {}, true, between(50ms, 800ms)});
+    after(between(500ms, 3s),
+          [&d] {
+              d.store_relay().apply({relay_action::restore, {}, true, {}});
+          });
+    return name_of(d);
+}
+
+std::string soak_run::refuse_at_store()
+{
+    store_.set_fault(store_fault::refuses);
+    after(between(200ms, 4s), [this] { store_.set_fault(store_fault::none); });
+    return "all";
+}
+
+std::string soak_run::forget_at_store()
+{
+    store_.set_fault(store_fault::forgets);
+    after(between(50ms, 500ms),
+          [this] { store_.set_fault(store_fault::none); });
+    return "all";
+}
+
+std::string soak_run::crash_target()
+{
+    auto& place = any_target();
+    if (!place.up_)
+    {
+        return {};
+    }
+    place.up_ = false;
+    auto const old = "servers/" + place.target_->id();
+    place.target_->crash();
+    after(between(300ms, 2s), [this, old] { store_.remove(old); });
+    after(between(300ms, 2500ms),
+          [this, &place]
+          {
+              place.target_->restart();
+              place.up_ = true;
+              write_target(place, "ready");
+          });
+    return place.target_->id();
+}
+
+std::string soak_run::cut_target()
+{
+    auto& place = any_target();
+    place.relay_->apply({relay_action::cut, {}, false, {}});
+    return place.target_->id();
+}
+
+std::string soak_run::silence_target()
+{
+    auto& place = any_target();
+    auto const all = random_.below(2) == 0;
+    place.relay_->apply(
+        {relay_action::silence,
+         random_.below(2) == 0 ? relay_direction::both : relay_direction::back,
+         all,
+         {}});
+    after(between(300ms, 3s),
+          [&place] {
+              place.relay_->apply({relay_action::restore, {}, true, {}});
+          });
+    return place.target_->id();
+}
+
+std::string soak_run::delay_target()
+{
+    auto& place = any_target();
+    place.relay_->apply({relay_action::delay, {}, true, between(20ms, 400ms)});
+    after(between(300ms, 3s),
+          [&place] {
+              place.relay_->apply({relay_action::restore, {}, true, {}});
+          });
+    return place.target_->id();
+}
+
+std::string soak_run::drain_target()
+{
+    auto& place = any_target();
+    if (!place.up_)
+    {
+        return {};
+    }
+    write_target(place, "draining");
+    after(between(300ms, 2s),
+          [this, &place, id = place.target_->id()]
+          {
+              if (place.up_ && place.target_->id() == id)
+              {
+                  write_target(place, "ready");
+              }
+          });
+    return place.target_->id();
+}
+
+std::string soak_run::change_configuration()
+{
+    write_configuration();
+    return std::to_string(version_);
+}
+
+void soak_run::lift_faults()
+{
+    ending_ = true;
+    for (auto& d : daemons_)
+    {
+        d.signal(SIGCONT);
+        d.store_relay().apply({relay_action::restore, {}, true, {}});
+    }
+    for (auto& place : targets_)
+    {
+        place.relay_->apply({relay_action::restore, {}, true, {}});
+    }
+    store_.set_fault(store_fault::none);
+    note("all faults are lifted");
+}
+
+void soak_run::look_at_daemons()
+{
+    for (auto& d : daemons_)
+    {
+        if (auto const status = d.take_end())
+        {
+            on_daemon_end(d, *status);
+        }
+    }
+    look_alarm_.set_after(look_interval);
+}
+
+void soak_run::on_daemon_end(daemon_process& d, int status)
+{
+    auto const name = name_of(d);
+    note(name + " ended with " + std::to_string(status));
+    // The signal may come before the program has begun to handle it.
+    auto const unready = d.version_ == 0 && status == -SIGTERM;
+    auto const planned = d.stopped_at_ && (status == 0 || unready);
+    if (!d.was_killed_ && !planned)
+    {
+        ledger_.fail(name + " ended by itself with status " +
+                     std::to_string(status));
+    }
+    // A frozen daemon cannot stop in time.
+    auto const calm = d.stopped_at_ && d.calm_since() < *d.stopped_at_;
+    if (!d.was_killed_ && calm &&
+        net::now() - *d.stopped_at_ > grace + stop_margin)
+    {
+        ledger_.fail(name + " took longer than its grace period to stop");
+    }
+    if (!closing_)
+    {
+        after(between(100ms, 1s),
+              [this, &d]
+              {
+                  if (!d.is_up())
+                  {
+                      start_daemon(d);
+                  }
+              });
+    }
+}
+
+void soak_run::ask_versions()
+{
+    for (auto& d : daemons_)
+    {
+        if (!d.is_up() || d.is_frozen())
+        {
+            continue;
+        }
+        net::http_request request{"GET", "/metrics", {}, {}};
+        request.headers_.add("Host", "metrics");
+        auto const life = d.calm_since();
+        client_.call(
+            d.metrics(), "metrics", std::move(request), {500ms},
+            [this, &d, life](base::result<net::http_response> const& answer)
+            {
+                constexpr std::string_view name = "configuration_version ";
+                auto const at = answer ? answer.value().body_.find(name)
+                                       : std::string::npos;
+                if (at == std::string::npos || life != d.calm_since())
+                {
+                    return;
+                }
+                auto const told = static_cast<std::uint64_t>(
+                    std::stod(answer.value().body_.substr(at + name.size())));
+                if (told < d.version_)
+                {
+                    ledger_.fail(name_of(d) + " went back from version " +
+                                 std::to_string(d.version_) + " to " +
+                                 std::to_string(told));
+                }
+                d.version_ = told;
+            });
+    }
+    version_alarm_.set_after(version_interval);
+}
+
+void soak_run::check_recovery()
+{
+    run_for(recovery_time);
+    auto const sent = ledger_.free_sent();
+    auto const answered = ledger_.free_answered();
+    run_for(recovery_watch);
+    auto const more = static_cast<double>(ledger_.free_sent() - sent);
+    auto const served = static_cast<double>(ledger_.free_answered() - answered);
+    note("served " + std::to_string(served) + " of " + std::to_string(more) +
+         " after the faults");
+    if (more < 1 || served < least_served * more)
+    {
+        ledger_.fail("callers are not served again: " + std::to_string(served) +
+                     " of " + std::to_string(more));
+    }
+}
+
+void soak_run::check_versions()
+{
+    write_configuration();
+    auto const in_force = [this]
+    {
+        return std::all_of(daemons_.begin(), daemons_.end(),
+                           [this](auto& d) { return d.version_ == version_; });
+    };
+    if (!run_until(in_force, longest_rollout))
+    {
+        ledger_.fail("version " + std::to_string(version_) +
+                     " is not in force on every daemon");
+    }
+}
+
+void soak_run::stop_all()
+{
+    closing_ = true;
+    for (auto& d : daemons_)
+    {
+        d.stopped_at_ = net::now();
+        d.signal(SIGTERM);
+    }
+    auto const down = [this]
+    {
+        return std::none_of(daemons_.begin(), daemons_.end(),
+                            [](auto const& d) { return d.is_up(); });
+    };
+    if (!run_until(down, grace + stop_margin))
+    {
+        ledger_.fail("a daemon did not stop");
+    }
+}
+
+std::vector<base::address> soak_run::directories() const
+{
+    std::vector<base::address> all;
+    for (auto const& d : daemons_)
+    {
+        all.push_back(d.directory());
+    }
+    return all;
+}
+
+bool soak_run::ran_since(base::address const& callers,
+                         base::time_point when) const
+{
+    return std::any_of(daemons_.begin(), daemons_.end(),
+                       [&](daemon_process const& d)
+                       {
+                           return d.callers() == callers && d.is_up() &&
+                                  !d.is_frozen() && d.calm_since() < when;
+                       });
+}
+
+} // namespace tanagerlead::soak
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "tests/soak/daemon_process.hpp"
+#include "tests/soak/platform_store.hpp"
+#include "tests/soak/platform_target.hpp"
+#include "tests/soak/soak_caller.hpp"
+
+#include <deque>
+
+namespace tanagerlead::soak
+{
+
+struct soak_settings
+{
+    std::uint64_t seed_ = 1;
+    /// Time with faults.
+    base::duration length_ = std::chrono::seconds{15};
+    int daemons_ = 4;
+    int targets_ = 5;
+    int callers_ = 24;
+    /// Mean time between two faults.
+    base::duration fault_interval_ = std::chrono::milliseconds{400};
+    std::string program_;
+    /// For settings and logs of the daemons.
+    std::string folder_;
+};
+
+/// One run with one seed: real daemons as processes, stand-ins for the store
+/// and the targets, callers, and faults from outside.
+class soak_run final : public soak_fleet
+{
+public:
+    explicit soak_run(soak_settings settings);
+    ~soak_run() override;
+
+    /// Promises that were broken; empty when all were kept.
+    std::vector<std::string> const& play();
+    ledger const& told() const { return ledger_; }
+    /// What was done, for people.
+    std::vector<std::string> const& story() const { return story_; }
+
+private:
+    struct target_place
+    {
+        std::unique_ptr<platform_target> target_;
+        std::unique_ptr<fakes::relay> relay_;
+        bool up_ = true;
+    };
+
+    /// Returns whom it befell; empty when nothing was done.
+    using fault = std::string (soak_run::*)();
+    struct fault_row
+    {
+        char const* name_;
+        fault act_;
+    };
+    static fault_row const faults_[];
+
+    std::vector<base::address> directories() const override;
+    bool ran_since(base::address const& callers,
+                   base::time_point when) const override;
+
+    std::string kill_daemon();
+    std::string freeze_daemon();
+    std::string stop_daemon();
+    std::string reload_daemon();
+    std::string cut_store();
+    std::string silence_store();
+    std::string delay_store();
+    std::string refuse_at_store();
+    std::string forget_at_store();
+    std::string crash_target();
+    std::string cut_target();
+    std::string silence_target();
+    std::string delay_target();
+    std::string drain_target();
+    std::string change_configuration();
+
+    void start();
+    void start_daemon(daemon_process& d);
+    void next_fault();
+    void lift_faults();
+    void run_for(base::duration length);
+    bool run_until(std::function<bool()> const& reached, base::duration most);
+    void after(base::duration delay, std::function<void()> act);
+    base::duration between(base::duration least, base::duration most);
+
+    void look_at_daemons();
+    void on_daemon_end(daemon_process& d, int status);
+    void ask_versions();
+    void write_configuration();
+    void write_target(target_place const& place, char const* state);
+    void check_recovery();
+    void check_versions();
+    void stop_all();
+
+    daemon_process& any_daemon();
+    target_place& any_target();
+    static std::string name_of(daemon_process const& d);
+    void note(std::string const& what);
+
+    soak_settings settings_;
+    net::asio::io_context loop_{1};
+    base::random_source random_;
+    ledger ledger_;
+    platform_store store_{loop_};
+    net::http_client client_{loop_};
+    std::deque<target_place> targets_;
+    std::deque<daemon_process> daemons_;
+    std::deque<soak_caller> callers_;
+    net::alarm fault_alarm_;
+    net::alarm look_alarm_;
+    net::alarm version_alarm_;
+    std::uint64_t version_ = 0;
+    base::time_point began_{};
+    /// No further faults.
+    bool ending_ = false;
+    /// Daemons that end stay down.
+    bool closing_ = false;
+    std::vector<std::string> story_;
+};
+
+} // namespace tanagerlead::soak
--- a/tools/entry/tanagerlead_entryd.cpp
+++ b/tools/entry/tanagerlead_entryd.cpp
@@ -35,6 +35,8 @@
 /// The daemon for routed requests on the users' platform.
 int main(int argc, char** argv)
 {
+    // Until the daemon handles it, a change of the settings must not end it.
+    std::signal(SIGHUP, SIG_IGN);
     absl::SetProgramUsageMessage(
         "tanagerlead_entryd --settings=FILE [--check]\n"
         "Routes requests to targets that register themselves. SIGTERM is a "
