An exception in a call ends that call alone; answers to HEAD have no pieces

And a streamed answer to HEAD would have had a body. Both have a test that failed first (the first by ending the program).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "src/http/server.hpp"
 
+#include "src/base/log.hpp"
 #include "src/http/worker_pool.hpp"
 #include "src/net/http_listener.hpp"
 
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <future>
 #include <thread>
 
@@ -25,6 +27,8 @@
 /// Between looks at whether the last answers have left.
 constexpr base::duration stop_poll = std::chrono::milliseconds{2};
 
+constexpr int internal_error = 500;
+
 struct error_row
 {
     int status_;
@@ -32,18 +36,27 @@
     char const* message_;
 };
 
+base::log const& logger()
+{
+    static base::log const instance{"http"};
+    return instance;
+}
+
 constexpr std::array error_rows{
     error_row{404, "unknown_path", "there is no such call"},
     error_row{408, "request_too_slow", "the request took too long to arrive"},
     error_row{413, "body_too_large", "the body is larger than the limit"},
     error_row{414, "uri_too_long", "the path is longer than the limit"},
     error_row{431, "head_too_large", "the headers are larger than the limit"},
+    error_row{internal_error, "internal", "the call failed inside this daemon"},
     error_row{0, "bad_request", "the request could not be read"},
 };
 
-/// Answer to a request that no handler saw.
-net::http_response unread(int status)
+/// Answer to a request that no handler answered.
+net::http_response unserved(int status)
 {
+    auto const* const outcome =
+        status == internal_error ? "unknown" : "not_run";
     auto const* const found = std::find_if(
         error_rows.begin(), error_rows.end() - 1,
         [&](error_row const& row) { return row.status_ == status; });
@@ -52,10 +65,10 @@
                                 {"message", found->message_},
                                 {"step", "read request"},
                                 {"peer", ""}}},
-                              {"outcome", "not_run"}};
+                              {"outcome", outcome}};
     http_reply reply;
     reply.set_status(status);
-    reply.set_header("X-Tanagerlead-Outcome", "not_run");
+    reply.set_header("X-Tanagerlead-Outcome", outcome);
     reply.set_content(body.dump(), "application/json");
     return reply.response();
 }
@@ -81,6 +94,9 @@
     using connection_ptr = http_reply::connection_ptr;
 
     void serve(connection_ptr const& from, net::http_request request);
+    /// Runs the handler and has its reply sent on the loop.
+    void run(router::route const& route, http_call const& call,
+             connection_ptr const& from);
     static void send(connection_ptr const& to, http_reply const& reply);
     /// Runs `work` on the loop's thread and waits for it.
     template <class Work>
@@ -105,7 +121,7 @@
                           settings_.longest_request_, settings_.keep_idle_,
                           settings_.longest_write_});
     listener_.on_bad_requests([](base::address const& /*from*/, int status)
-                              { return unread(status); });
+                              { return unserved(status); });
 }
 
 base::result<void> server::impl::bind()
@@ -130,7 +146,7 @@
 {
     if (request.target_.size() > settings_.most_target_bytes_)
     {
-        from->answer(unread(414));
+        from->answer(unserved(414));
         return;
     }
     http_call call{std::move(request.method_),
@@ -141,24 +157,35 @@
     auto const* const route = router_.find(call);
     if (route == nullptr)
     {
-        from->answer(unread(404));
+        from->answer(unserved(404));
         return;
     }
     if (route->where_ == runs_on::loop)
     {
-        http_reply reply;
-        route->serve_(call, reply);
-        send(from, reply);
+        run(*route, call, from);
         return;
     }
-    workers_.post(
-        [this, from, route, call = std::move(call)]
-        {
-            http_reply reply;
-            route->serve_(call, reply);
-            asio::post(loop_,
-                       [from, reply = std::move(reply)] { send(from, reply); });
-        });
+    workers_.post([this, from, route, call = std::move(call)]
+                  { run(*route, call, from); });
+}
+
+// An exception ends its call and not the daemon.
+void server::impl::run(router::route const& route, http_call const& call,
+                       connection_ptr const& from)
+{
+    http_reply reply;
+    try
+    {
+        route.serve_(call, reply);
+    }
+    catch (std::exception const& problem)
+    {
+        logger().error("Call failed. path=" + call.target_ +
+                       " reason=" + problem.what());
+        asio::post(loop_, [from] { from->answer(unserved(internal_error)); });
+        return;
+    }
+    asio::post(loop_, [from, reply = std::move(reply)] { send(from, reply); });
 }
 
 void server::impl::send(connection_ptr const& to, http_reply const& reply)
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -243,7 +243,7 @@
 
 void caller_connection::send_piece(std::string_view bytes)
 {
-    if (closed_ || bytes.empty())
+    if (closed_ || head_only_ || bytes.empty())
     {
         return;
     }
@@ -257,7 +257,10 @@
     {
         return;
     }
-    out_ += last_chunk;
+    if (!head_only_)
+    {
+        out_ += last_chunk;
+    }
     finish_answer();
 }
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <future>
+#include <stdexcept>
 
 using namespace tanagerlead;
 using namespace tanagerlead::test;
@@ -91,6 +92,54 @@
     CHECK(answer.ends_with("\r\n\r\n"));
 }
 
+TEST(server, the_answer_to_head_has_no_pieces)
+{
+    serve(
+        [](http::router& to)
+        {
+            to.add("GET", "/pieces",
+                   [](http::http_call const& /*call*/, http::http_reply& reply)
+                   {
+                       reply.deliver_by(
+                           [](auto const& connection)
+                           {
+                               connection->begin_answer({200, {}, {}, {}});
+                               connection->send_piece("piece");
+                               connection->end_answer();
+                           });
+                   });
+        });
+    auto const answer =
+        ask("HEAD /pieces HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("\r\n\r\n"));
+}
+
+TEST(server, a_handler_that_throws_ends_its_call_alone)
+{
+    serve(
+        [](http::router& to)
+        {
+            auto const throws =
+                [](http::http_call const& /*call*/, http::http_reply& /*reply*/)
+            {
+                throw std::runtime_error{"broken"};
+            };
+            to.add("GET", "/loop", throws);
+            to.add("GET", "/worker", throws, http::runs_on::worker);
+        });
+    for (auto const* path : {"/loop", "/worker"})
+    {
+        auto const answer = ask(std::string{"GET "} + path +
+                                " HTTP/1.1\r\nHost: x\r\n"
+                                "Connection: close\r\n\r\n");
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 500"), path);
+        CHECK_TEXT(answer.find("unknown") != std::string::npos, path);
+    }
+    CHECK(ask("GET /text HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+              .starts_with("HTTP/1.1 200"));
+}
+
 TEST(server, requests_sent_together_are_answered_in_order)
 {
     serve(
