--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -89,7 +89,7 @@
     auto const answer =
         ask("HEAD /text HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     CHECK(answer.find("Content-Length: 9\r\n") != std::string::npos);
-    CHECK(answer.ends_with("\r\n\r\n"));
+    CHECK_EQUAL(answer.size() - 4, answer.find("\r\n\r\n"));
 }
 
 TEST(server, the_answer_to_head_has_no_pieces)
@@ -112,7 +112,8 @@
     auto const answer =
         ask("HEAD /pieces HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     CHECK(answer.starts_with("HTTP/1.1 200"));
-    CHECK(answer.ends_with("\r\n\r\n"));
+    // Nothing behind the head.
+    CHECK_EQUAL(answer.size() - 4, answer.find("\r\n\r\n"));
 }
 
 TEST(server, a_handler_that_throws_ends_its_call_alone)
