Entry: a daemon that cannot read or renew its registration says so

Cause: a failed renewal, a failed write of the own entry and a failed reading of the list left no line in the log, against the house rule. Found by reading; ruled out: another place that logs it (the store's client does not). Before: no line, after: one a failure, within the log's rate.

--- a/src/entry/daemon_registration.cpp
+++ b/src/entry/daemon_registration.cpp
@@ -53,56 +53,59 @@
 
 void daemon_registration::register_again()
 {
-    store_.grant_lease(lease_time,
-                       [this](base::result<store_lease> granted)
+    store_.grant_lease(
+        lease_time,
+        [this](base::result<store_lease> granted)
+        {
+            if (!granted)
+            {
+                log_failure("Not registered.", granted.error());
+                return;
+            }
+            if (leaving_)
+            {
+                return;
+            }
+            auto const lease = granted.value();
+            store_.put(prefix + name_, ip_, lease,
+                       [this, lease](base::result<void> const& written)
                        {
-                           if (!granted)
+                           // A lease without its key ends by
+                           // itself.
+                           if (written)
                            {
-                               log_.write(line_kind::control,
-                                          log_line{"Not registered."}.with(
-                                              "reason", granted.error().str()),
-                                          net::now());
-                               return;
+                               lease_ = lease;
                            }
-                           if (leaving_)
+                           else
                            {
-                               return;
+                               log_failure("Not registered.", written.error());
                            }
-                           auto const lease = granted.value();
-                           store_.put(
-                               prefix + name_, ip_, lease,
-                               [this, lease](base::result<void> const& written)
-                               {
-                                   // A lease without its key ends by
-                                   // itself.
-                                   if (written)
-                                   {
-                                       lease_ = lease;
-                                   }
-                                   read();
-                               });
+                           read();
                        });
+        });
 }
 
 void daemon_registration::renew()
 {
-    store_.renew_lease(*lease_,
-                       [this](base::result<void> renewed)
-                       {
-                           if (!renewed && renewed.error().code_ ==
-                                               base::error_code::not_found)
-                           {
-                               log_.write(line_kind::control,
-                                          log_line{"Lease lapsed."},
-                                          net::now());
-                               lease_.reset();
-                               return;
-                           }
-                           if (renewed)
-                           {
-                               read();
-                           }
-                       });
+    store_.renew_lease(
+        *lease_,
+        [this](base::result<void> renewed)
+        {
+            if (!renewed &&
+                renewed.error().code_ == base::error_code::not_found)
+            {
+                log_.write(line_kind::control, log_line{"Lease lapsed."},
+                           net::now());
+                lease_.reset();
+                return;
+            }
+            if (!renewed)
+            {
+                log_failure("Lease not renewed.", renewed.error());
+                return;
+            }
+            read();
+        });
 }
 
 void daemon_registration::read()
@@ -112,6 +115,7 @@
                 {
                     if (!page)
                     {
+                        log_failure("Daemons not read.", page.error());
                         return;
                     }
                     std::vector<std::string> ips;
@@ -124,6 +128,13 @@
                 });
 }
 
+void daemon_registration::log_failure(char const* sentence,
+                                      base::error const& why)
+{
+    log_.write(line_kind::control, log_line{sentence}.with("reason", why.str()),
+               net::now());
+}
+
 void daemon_registration::leave(std::function<void()> done)
 {
     leaving_ = true;
--- a/src/entry/daemon_registration.hpp
+++ b/src/entry/daemon_registration.hpp
@@ -29,6 +29,7 @@
     void register_again();
     void renew();
     void read();
+    void log_failure(char const* sentence, base::error const& why);
 
     metadata_store& store_;
     std::string name_;
