Reports: one lane for each distance instead of two copies

near and far had an alarm, two times, an interval and a handler each, and every report sorted all daemons into both lists to use one. Also gone: members that nothing reads or that follow from others (store_follower's loop, the path of the settings' reader, has_any_ of the configuration's reader, self()); the targets being probed are a set.

--- a/src/entry/call_subject.cpp
+++ b/src/entry/call_subject.cpp
@@ -20,8 +20,7 @@
 
 std::string host_of(net::header_list const& headers)
 {
-    auto const* const host = headers.find("Host");
-    auto name = host == nullptr ? std::string{} : *host;
+    auto name = headers.value("Host");
     name = name.substr(0, name.find(':'));
     std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char c) { return std::tolower(c); });
--- a/src/entry/configuration_reader.cpp
+++ b/src/entry/configuration_reader.cpp
@@ -44,11 +44,10 @@
         return;
     }
     auto const& fresh = read.value();
-    if (has_any_ && fresh->version() <= version_)
+    if (!document_.empty() && fresh->version() <= version_)
     {
         return;
     }
-    has_any_ = true;
     version_ = fresh->version();
     document_ = document;
     log_.write(
--- a/src/entry/configuration_reader.hpp
+++ b/src/entry/configuration_reader.hpp
@@ -34,7 +34,6 @@
     event_log log_{"config"};
     std::string document_;
     base::config_version version_{};
-    bool has_any_ = false;
 };
 
 } // namespace tanagerlead::entry
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -88,16 +88,18 @@
             {
                 on_datagram(from, bytes);
             }},
-      near_alarm_{loop,
-                  [this]
-                  {
-                      on_near_due();
-                  }},
-      far_alarm_{loop,
-                 [this]
-                 {
-                     on_far_due();
-                 }},
+      lanes_{lane{audience::near, least_near_interval, near_interval_per_daemon,
+                  net::alarm{loop,
+                             [this]
+                             {
+                                 send_on(lanes_.front());
+                             }}},
+             lane{audience::far, least_far_interval, far_interval_per_daemon,
+                  net::alarm{loop,
+                             [this]
+                             {
+                                 send_on(lanes_.back());
+                             }}}},
       heartbeat_alarm_{loop, [this]
                        {
                            on_heartbeat();
@@ -153,15 +155,18 @@
     }
 }
 
-peer_exchange::receivers peer_exchange::sort_peers() const
+std::vector<routing::peer_ip> peer_exchange::peers_at(audience to) const
 {
     auto const own = routing::digest_of(settings_.data_centre_.str());
-    receivers out;
+    std::vector<routing::peer_ip> out;
     for (auto const peer : board_.known())
     {
         // One that was never heard may be in the own data centre.
-        auto const where = board_.data_centre_of(peer);
-        (where.value_or(own) == own ? out.near_ : out.far_).push_back(peer);
+        auto const is_near = board_.data_centre_of(peer).value_or(own) == own;
+        if (is_near == (to == audience::near))
+        {
+            out.push_back(peer);
+        }
     }
     return out;
 }
@@ -169,36 +174,15 @@
 void peer_exchange::changed()
 {
     auto const now = net::now();
-    if (!near_alarm_.is_set())
-    {
-        near_alarm_.set(std::max(now, near_sent_ + near_interval_));
-    }
-    if (!far_alarm_.is_set())
+    for (auto& l : lanes_)
     {
-        far_alarm_.set(std::max(now, far_sent_ + far_interval_));
+        if (!l.alarm_.is_set())
+        {
+            l.alarm_.set(std::max(now, l.sent_ + l.interval_));
+        }
     }
 }
 
-void peer_exchange::on_near_due()
-{
-    auto const peers = sort_peers().near_;
-    near_sent_ = net::now();
-    near_interval_ =
-        std::clamp(near_interval_per_daemon * std::ssize(peers),
-                   base::duration{least_near_interval}, most_interval);
-    send_to(peers, audience::near);
-}
-
-void peer_exchange::on_far_due()
-{
-    auto const peers = sort_peers().far_;
-    far_sent_ = net::now();
-    far_interval_ =
-        std::clamp(far_interval_per_daemon * std::ssize(peers),
-                   base::duration{least_far_interval}, most_interval);
-    send_to(peers, audience::far);
-}
-
 void peer_exchange::on_heartbeat()
 {
     auto const now = net::now();
@@ -207,47 +191,44 @@
     {
         try_seeds();
     }
-    if (now - near_sent_ >= heartbeat_interval / 2)
+    for (auto& l : lanes_)
     {
-        on_near_due();
-    }
-    if (now - far_sent_ >= heartbeat_interval / 2)
-    {
-        on_far_due();
+        if (now - l.sent_ >= heartbeat_interval / 2)
+        {
+            send_on(l);
+        }
     }
     heartbeat_alarm_.set_after(heartbeat_interval);
 }
 
 void peer_exchange::send()
 {
-    near_alarm_.clear();
-    far_alarm_.clear();
-    on_near_due();
-    on_far_due();
+    for (auto& l : lanes_)
+    {
+        l.alarm_.clear();
+        send_on(l);
+    }
 }
 
-void peer_exchange::send_to(std::vector<routing::peer_ip> const& peers,
-                            audience to)
+void peer_exchange::send_on(lane& l)
 {
+    auto const now = net::now();
+    auto const peers = peers_at(l.to_);
+    l.sent_ = now;
+    l.interval_ = std::clamp(l.interval_per_daemon_ * std::ssize(peers),
+                             l.least_interval_, most_interval);
     if (peers.empty())
     {
         return;
     }
-    auto const now = net::now();
     routing::peer_report report;
-    owner_.fill(report, to);
+    owner_.fill(report, l.to_);
     report.life_ = life_;
     report.number_ = ++number_;
-    auto& told = others_told_.at(static_cast<std::size_t>(to));
-    auto const tell_others = now - told >= others_interval;
-    told = tell_others ? now : told;
-    for (auto const peer : board_.heard(now))
+    if (now - l.others_told_ >= others_interval)
     {
-        if (tell_others &&
-            report.others_.size() < routing::peer_report::most_addresses)
-        {
-            report.others_.push_back(static_cast<std::uint32_t>(peer));
-        }
+        l.others_told_ = now;
+        tell_others(report, now);
     }
     auto const bytes = pack(report);
     for (auto const peer : peers)
@@ -257,6 +238,18 @@
     }
 }
 
+void peer_exchange::tell_others(routing::peer_report& report,
+                                base::time_point now) const
+{
+    for (auto const peer : board_.heard(now))
+    {
+        if (report.others_.size() < routing::peer_report::most_addresses)
+        {
+            report.others_.push_back(static_cast<std::uint32_t>(peer));
+        }
+    }
+}
+
 void peer_exchange::on_datagram(std::uint32_t from, std::string_view bytes)
 {
     routing::peer_report report;
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -47,21 +47,25 @@
 
     routing::peer_board& board() { return board_; }
     routing::peer_board const& board() const { return board_; }
-    routing::peer_ip self() const { return self_; }
     std::uint64_t sent() const { return sent_; }
 
 private:
-    /// Daemons by distance, as they report their data centres.
-    struct receivers
+    /// Reports to the daemons at one distance.
+    struct lane
     {
-        std::vector<routing::peer_ip> near_;
-        std::vector<routing::peer_ip> far_;
+        audience to_;
+        base::duration least_interval_;
+        base::duration interval_per_daemon_;
+        net::alarm alarm_;
+        base::time_point sent_{};
+        base::duration interval_{};
+        base::time_point others_told_{};
     };
 
-    receivers sort_peers() const;
-    void on_near_due();
-    void on_far_due();
-    void send_to(std::vector<routing::peer_ip> const& peers, audience to);
+    /// As they report their data centres.
+    std::vector<routing::peer_ip> peers_at(audience to) const;
+    void send_on(lane& l);
+    void tell_others(routing::peer_report& report, base::time_point now) const;
     void on_datagram(std::uint32_t from, std::string_view bytes);
     void on_heartbeat();
     void try_seeds();
@@ -76,14 +80,8 @@
     std::uint64_t sent_ = 0;
     routing::peer_board board_;
     net::udp_port port_;
-    net::alarm near_alarm_;
-    net::alarm far_alarm_;
+    std::array<lane, 2> lanes_;
     net::alarm heartbeat_alarm_;
-    base::time_point near_sent_{};
-    base::time_point far_sent_{};
-    base::duration near_interval_{};
-    base::duration far_interval_{};
-    std::array<base::time_point, 2> others_told_{};
 };
 
 std::optional<routing::peer_ip> parse_peer_ip(std::string const& ip);
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -14,10 +14,7 @@
 class field_reader
 {
 public:
-    field_reader(json const& object, std::string path)
-        : object_{object}, path_{std::move(path)}
-    {
-    }
+    explicit field_reader(json const& object) : object_{object} {}
 
     std::string text(char const* name)
     {
@@ -99,12 +96,11 @@
     {
         if (problem_.empty())
         {
-            problem_ = path_ + "/" + name + " " + what;
+            problem_ = std::string{"/"} + name + " " + what;
         }
     }
 
     json const& object_;
-    std::string path_;
     std::string problem_;
 };
 
@@ -127,7 +123,7 @@
     {
         return fail("settings are not a JSON object");
     }
-    field_reader r{document, ""};
+    field_reader r{document};
     settings s;
     s.daemon_ = base::daemon_id{r.text("daemon")};
     s.data_centre_ = base::data_centre_id{r.text("data_centre")};
--- a/src/entry/store_follower.cpp
+++ b/src/entry/store_follower.cpp
@@ -22,19 +22,19 @@
 store_follower::store_follower(net::asio::io_context& loop,
                                metadata_store& store, store_reader& reader,
                                settings s, std::uint64_t seed)
-    : loop_{loop}, store_{store}, reader_{reader}, settings_{std::move(s)},
-      random_{seed}, pause_{first_pause}, alarm_{loop, [this]
-                                                 {
-                                                     waits_to_retry_ = false;
-                                                     if (is_current_)
-                                                     {
-                                                         watch();
-                                                     }
-                                                     else
-                                                     {
-                                                         read_page("");
-                                                     }
-                                                 }}
+    : store_{store}, reader_{reader}, settings_{std::move(s)}, random_{seed},
+      pause_{first_pause}, alarm_{loop, [this]
+                                  {
+                                      waits_to_retry_ = false;
+                                      if (is_current_)
+                                      {
+                                          watch();
+                                      }
+                                      else
+                                      {
+                                          read_page("");
+                                      }
+                                  }}
 {
 }
 
--- a/src/entry/store_follower.hpp
+++ b/src/entry/store_follower.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "src/base/log.hpp"
 #include "src/base/random.hpp"
 #include "src/entry/metadata_store.hpp"
 #include "src/net/event_loop.hpp"
@@ -52,7 +51,6 @@
     void fail(base::error const& why);
     void succeed();
 
-    net::asio::io_context& loop_;
     metadata_store& store_;
     store_reader& reader_;
     settings settings_;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -356,11 +356,10 @@
 {
     crashes_.on_broken(running.about().fingerprint_, target, net::now());
     auto const* const info = dispatcher_.find(target);
-    if (info == nullptr || probing_[target])
+    if (info == nullptr || !probing_.insert(target).second)
     {
         return;
     }
-    probing_[target] = true;
     channels_.probe(*info,
                     [this, target](bool reachable)
                     {
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -11,6 +11,8 @@
 #include "src/routing/quota_ledger.hpp"
 #include "src/routing/retry_budget.hpp"
 
+#include <set>
+
 namespace tanagerlead::entry
 {
 
@@ -120,7 +122,8 @@
     std::map<routing::id_digest, base::workspace_id> workspaces_;
     std::map<base::request_id, std::shared_ptr<call>> calls_;
     std::array<base::time_point, 2> spent_told_{};
-    std::map<base::target_id, bool> probing_;
+    /// Targets that are being connected to, to see whether they live.
+    std::set<base::target_id> probing_;
 
     net::alarm advance_alarm_;
     planned_stop stop_;
