Stand-ins and soak: what the daemon's server left behind is gone

The stand-ins' server still worded errors like the daemon's interface and told whether a caller had left, which nothing asks any more. One restore of a relay and one reading of a process's end in place of copies. No assertion changed.

--- a/tests/fakes/blocking_server.cpp
+++ b/tests/fakes/blocking_server.cpp
@@ -4,13 +4,9 @@
 #include "tests/fakes/caller_stream.hpp"
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
-#include <array>
-
 namespace tanagerlead::fakes
 {
 
@@ -21,8 +17,6 @@
 constexpr int listen_backlog = 4096;
 constexpr std::size_t requests_per_connection = 100000;
 
-thread_local caller_stream const* current_stream = nullptr;
-
 /// Threads are made as connections come.
 class growing_task_queue final : public httplib::TaskQueue
 {
@@ -43,55 +37,9 @@
     http::worker_pool workers_;
 };
 
-std::string error_body(char const* code, char const* message)
-{
-    nlohmann::json const body{{"error",
-                               {{"code", code},
-                                {"message", message},
-                                {"step", "read request"},
-                                {"peer", ""}}},
-                              {"outcome", "not_run"}};
-    return body.dump();
-}
-
-/// Gives a body to the library's own errors.
-void explain_error(httplib::Request const& /*request*/,
-                   httplib::Response& response)
-{
-    if (!response.body.empty())
-    {
-        return;
-    }
-    struct row
-    {
-        int status_;
-        char const* code_;
-        char const* message_;
-    };
-    static constexpr std::array rows{
-        row{404, "unknown_path", "there is no such call"},
-        row{413, "body_too_large", "the body is larger than the limit"},
-        row{414, "uri_too_long", "the path is longer than the limit"},
-        row{500, "internal", "the call failed inside this daemon"},
-        row{0, "bad_request", "the request could not be read"},
-    };
-    auto const* found = std::find_if(
-        rows.begin(), rows.end() - 1,
-        [&](row const& each) { return each.status_ == response.status; });
-    response.set_header("X-Tanagerlead-Outcome", "not_run");
-    response.set_content(error_body(found->code_, found->message_),
-                         "application/json");
-}
-
-std::string head_too_large()
-{
-    auto const body =
-        error_body("head_too_large", "the headers are larger than the limit");
-    return "HTTP/1.1 431 Request Header Fields Too Large\r\n"
-           "Connection: close\r\nContent-Type: application/json\r\n"
-           "X-Tanagerlead-Outcome: not_run\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
-}
+std::string const head_too_large =
+    "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    "Connection: close\r\nContent-Length: 0\r\n\r\n";
 
 } // namespace
 
@@ -113,7 +61,6 @@
                              {settings_.longest_request_,
                               settings_.longest_write_,
                               settings_.most_head_bytes_}};
-        current_stream = &stream;
         auto left = requests_per_connection;
         while (left > 0 &&
                stream.wait_for_request(settings_.keep_idle_, svr_sock_) &&
@@ -121,7 +68,6 @@
         {
             --left;
         }
-        current_stream = nullptr;
         ::shutdown(socket, SHUT_RDWR);
         ::close(socket);
         return true;
@@ -134,7 +80,7 @@
         case head_state::gone:
             return false;
         case head_state::too_large:
-            stream.Stream::write(head_too_large());
+            stream.Stream::write(head_too_large);
             return false;
         case head_state::whole:
             break;
@@ -159,12 +105,6 @@
     };
     server_->set_payload_max_length(settings_.most_body_bytes_);
     server_->set_tcp_nodelay(true);
-    server_->set_error_handler(explain_error);
-}
-
-bool blocking_server::caller_is_gone()
-{
-    return current_stream != nullptr && current_stream->peer_is_gone();
 }
 
 blocking_server::~blocking_server()
--- a/tests/fakes/blocking_server.hpp
+++ b/tests/fakes/blocking_server.hpp
@@ -47,9 +47,6 @@
     void stop();
     base::address local_address() const { return local_; }
 
-    /// On a thread that handles a request: whether its caller hung up.
-    static bool caller_is_gone();
-
 private:
     class deep_backlog_server;
 
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -90,7 +90,7 @@
     {
         int status = 0;
         ::waitpid(std::exchange(pid_, -1), &status, 0);
-        end_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        end_ = end_of(status);
     }
     return end_;
 }
--- a/tests/process/spawn.cpp
+++ b/tests/process/spawn.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/spawn.hpp"
 
 #include <spawn.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 namespace tanagerlead::process
@@ -32,4 +33,9 @@
     return failed == 0 ? pid : -1;
 }
 
+int end_of(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 } // namespace tanagerlead::process
--- a/tests/process/spawn.hpp
+++ b/tests/process/spawn.hpp
@@ -12,4 +12,7 @@
 pid_t spawn(std::string const& program,
             std::vector<std::string> const& arguments, int out, int errors);
 
+/// A status of `waitpid`: the exit status, or minus the signal that ended it.
+int end_of(int status);
+
 } // namespace tanagerlead::process
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -135,7 +135,7 @@
     }
     pid_ = -1;
     frozen_ = false;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return process::end_of(status);
 }
 
 } // namespace tanagerlead::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -49,6 +49,11 @@
             {"GapAimMs", 400},   {"ResumeStreams", true}};
 }
 
+void restore(fakes::relay& faulty)
+{
+    faulty.apply({relay_action::restore, {}, true, {}});
+}
+
 } // namespace
 
 soak_run::fault_row const soak_run::faults_[] = {
@@ -306,10 +311,7 @@
         relay_direction::both, relay_direction::forward, relay_direction::back};
     d.store_relay().apply(
         {relay_action::silence, ways.at(random_.below(ways.size())), true, {}});
-    after(between(500ms, 5s),
-          [&d] {
-              d.store_relay().apply({relay_action::restore, {}, true, {}});
-          });
+    restore_after(between(500ms, 5s), d.store_relay());
     return name_of(d);
 }
 
@@ -318,10 +320,7 @@
     auto& d = any_daemon();
     d.store_relay().apply(
         {relay_action::delay, {}, true, between(50ms, 800ms)});
-    after(between(500ms, 3s),
-          [&d] {
-              d.store_relay().apply({relay_action::restore, {}, true, {}});
-          });
+    restore_after(between(500ms, 3s), d.store_relay());
     return name_of(d);
 }
 
@@ -377,10 +376,7 @@
          random_.below(2) == 0 ? relay_direction::both : relay_direction::back,
          all,
          {}});
-    after(between(300ms, 3s),
-          [&place] {
-              place.relay_->apply({relay_action::restore, {}, true, {}});
-          });
+    restore_after(between(300ms, 3s), *place.relay_);
     return place.target_->id();
 }
 
@@ -388,10 +384,7 @@
 {
     auto& place = any_target();
     place.relay_->apply({relay_action::delay, {}, true, between(20ms, 400ms)});
-    after(between(300ms, 3s),
-          [&place] {
-              place.relay_->apply({relay_action::restore, {}, true, {}});
-          });
+    restore_after(between(300ms, 3s), *place.relay_);
     return place.target_->id();
 }
 
@@ -420,17 +413,22 @@
     return std::to_string(version_);
 }
 
+void soak_run::restore_after(base::duration delay, fakes::relay& faulty)
+{
+    after(delay, [&faulty] { restore(faulty); });
+}
+
 void soak_run::lift_faults()
 {
     ending_ = true;
     for (auto& d : daemons_)
     {
         d.signal(SIGCONT);
-        d.store_relay().apply({relay_action::restore, {}, true, {}});
+        restore(d.store_relay());
     }
     for (auto& place : targets_)
     {
-        place.relay_->apply({relay_action::restore, {}, true, {}});
+        restore(*place.relay_);
     }
     store_.set_fault(store_fault::none);
     note("all faults are lifted");
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -79,6 +79,7 @@
     void start();
     void start_daemon(daemon_process& d);
     void next_fault();
+    void restore_after(base::duration delay, fakes::relay& faulty);
     void lift_faults();
     void run_for(base::duration length);
     bool run_until(std::function<bool()> const& reached, base::duration most);
