One reading of a header field, one reading of a whole answer

'The first of that name, or empty' stood in five places (call, target head, wire protocol, host, soak) and is header_list::value; the loop over an answer's events stood in two and is answer_buffer::content.

--- a/src/http/answer_writer.cpp
+++ b/src/http/answer_writer.cpp
@@ -50,18 +50,6 @@
     reply.set_header("X-Tanagerlead-Request", identity.id_.str());
 }
 
-std::string whole_content(request::answer_buffer const& answer)
-{
-    std::string content;
-    for (std::uint64_t at = 0; at < answer.last_event();)
-    {
-        auto const slice = answer.read_after(at);
-        content += slice.bytes_;
-        at = slice.last_;
-    }
-    return content;
-}
-
 } // namespace
 
 void write_error(int status, std::string const& code, base::error const& error,
@@ -110,7 +98,7 @@
     {
         reply.add_header(field.name_, field.value_);
     }
-    reply.set_content(whole_content(record.answer()), head.content_type_);
+    reply.set_content(record.answer().content(), head.content_type_);
 }
 
 void write_stream_head(request::request_record const& record, http_reply& reply)
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -5,17 +5,6 @@
 namespace tanagerlead::http
 {
 
-bool http_call::has_header(std::string_view name) const
-{
-    return headers_.find(name) != nullptr;
-}
-
-std::string http_call::header(std::string_view name) const
-{
-    auto const* const found = headers_.find(name);
-    return found == nullptr ? std::string{} : *found;
-}
-
 std::optional<std::string> http_call::parameter(std::string_view name) const
 {
     return query_parameter(target_, name);
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -28,9 +28,6 @@
     /// Decoded parts of the path that the route leaves open, in order.
     std::vector<std::string> captures_;
 
-    bool has_header(std::string_view name) const;
-    /// The first of that name; empty when there is none.
-    std::string header(std::string_view name) const;
     /// Decoded value of a parameter of the query.
     std::optional<std::string> parameter(std::string_view name) const;
 };
--- a/src/http/caller_api.cpp
+++ b/src/http/caller_api.cpp
@@ -7,6 +7,7 @@
 #include "src/http/generation_body.hpp"
 #include "src/http/header_names.hpp"
 #include "src/http/request_runner.hpp"
+#include "src/http/url.hpp"
 #include "src/request/issued_key.hpp"
 #include "src/request/prompt_features.hpp"
 
@@ -56,19 +57,6 @@
     return method == "GET" || method == "HEAD";
 }
 
-/// Path and query behind "/v1/services/POOL", as the caller wrote them.
-std::string service_path(std::string const& target)
-{
-    constexpr std::string_view prefix = "/v1/services/";
-    auto const begin = target.find_first_of("/?", prefix.size());
-    if (begin == std::string::npos)
-    {
-        return "/";
-    }
-    auto const rest = target.substr(begin);
-    return rest.front() == '/' ? rest : '/' + rest;
-}
-
 } // namespace
 
 class caller_api::impl
@@ -165,7 +153,7 @@
     return [this, method](http_call const& request, http_reply& response)
     {
         auto const caller =
-            authenticator_.find(request.header("Authorization"));
+            authenticator_.find(request.headers_.value("Authorization"));
         if (caller.workspace_ == nullptr)
         {
             response.set_header("WWW-Authenticate", "Bearer");
@@ -261,7 +249,7 @@
                                 authenticated const& caller,
                                 http_call const& request, http_reply& response)
 {
-    if (!request.header("Content-Type").starts_with("application/json"))
+    if (!request.headers_.value("Content-Type").starts_with("application/json"))
     {
         refuse_input(status::unsupported_media_type, "content_type",
                      "read request", "Content-Type: must be application/json",
@@ -300,7 +288,8 @@
 void caller_api::impl::service(authenticated const& caller,
                                http_call const& request, http_reply& response)
 {
-    if (request.header("Content-Type").starts_with("multipart/form-data"))
+    if (request.headers_.value("Content-Type")
+            .starts_with("multipart/form-data"))
     {
         refuse_input(status::unsupported_media_type, "content_type",
                      "read request", "Content-Type: multipart is not supported",
@@ -323,12 +312,12 @@
     what.pool_ = pool;
     what.features_.tokens_ = service_call_tokens;
     what.most_output_tokens_ = service_call_tokens;
-    auto const path = service_path(request.target_);
+    auto const path = path_behind(request.target_, "/v1/services/");
     what.sameness_ = request.method_ + ' ' + path + '\n' + request.body_;
     what.call_ = {request.method_,
                   path,
                   {},
-                  request.header("Content-Type"),
+                  request.headers_.value("Content-Type"),
                   request.body_};
     for (auto const& field : request.headers_)
     {
@@ -411,7 +400,7 @@
     {
         work->item_.deadline_ = now + *options.deadline_;
     }
-    work->bearer_ = bearer_key(request.header("Authorization"));
+    work->bearer_ = bearer_key(request.headers_.value("Authorization"));
     work->forwarded_ = options.forwarded_;
     work->caller_path_ = request.target_;
     auto& job = work->job_;
--- a/src/http/caller_options.cpp
+++ b/src/http/caller_options.cpp
@@ -43,11 +43,11 @@
 base::result<bool> read_mark(http_call const& request, bool otherwise)
 {
     auto const* name = "X-Non-Idempotent";
-    if (!request.has_header(name))
+    if (request.headers_.find(name) == nullptr)
     {
         return otherwise;
     }
-    auto const value = request.header(name);
+    auto const value = request.headers_.value(name);
     if (value != "true" && value != "false")
     {
         return invalid("X-Non-Idempotent: must be true or false");
@@ -57,7 +57,7 @@
 
 base::result<std::string> read_key(http_call const& request)
 {
-    auto const key = request.header("Idempotency-Key");
+    auto const key = request.headers_.value("Idempotency-Key");
     if (key.size() > most_key_bytes || !is_printable(key))
     {
         return invalid("Idempotency-Key: at most 255 printable characters "
@@ -70,11 +70,11 @@
 read_deadline(http_call const& request)
 {
     auto const* name = "X-Deadline-Ms";
-    if (!request.has_header(name))
+    if (request.headers_.find(name) == nullptr)
     {
         return std::optional<base::duration>{};
     }
-    auto const value = parse_number<std::int64_t>(request.header(name));
+    auto const value = parse_number<std::int64_t>(request.headers_.value(name));
     if (!value || *value > most_deadline_ms)
     {
         return invalid("X-Deadline-Ms: milliseconds from now, at most " +
@@ -87,11 +87,12 @@
 base::result<std::uint64_t> read_last_event(http_call const& request)
 {
     auto const* name = "Last-Event-ID";
-    if (!request.has_header(name))
+    if (request.headers_.find(name) == nullptr)
     {
         return std::uint64_t{0};
     }
-    auto const value = parse_number<std::uint64_t>(request.header(name));
+    auto const value =
+        parse_number<std::uint64_t>(request.headers_.value(name));
     if (!value)
     {
         return invalid("Last-Event-ID: must be a number");
@@ -110,7 +111,7 @@
                       read_mark(request, non_idempotent_by_default));
     BOOST_OUTCOME_TRY(options.deadline_, read_deadline(request));
     BOOST_OUTCOME_TRY(options.last_event_, read_last_event(request));
-    options.forwarded_ = request.has_header(forwarded_header);
+    options.forwarded_ = request.headers_.find(forwarded_header) != nullptr;
     if (options.non_idempotent_ && options.idempotency_key_.empty())
     {
         return invalid("Idempotency-Key: needed, for the request runs at most "
--- a/src/http/http_exchange.cpp
+++ b/src/http/http_exchange.cpp
@@ -41,9 +41,7 @@
 
 target_head make_head(net::http_response const& head)
 {
-    auto const* const type = head.headers_.find("Content-Type");
-    return {head.status_, type == nullptr ? std::string{} : *type,
-            head.headers_};
+    return {head.status_, head.headers_.value("Content-Type"), head.headers_};
 }
 
 } // namespace
--- a/src/http/operator_guard.cpp
+++ b/src/http/operator_guard.cpp
@@ -68,7 +68,7 @@
 
 bool operator_guard::allows(http_call const& request) const
 {
-    auto const given = request.header("Authorization");
+    auto const given = request.headers_.value("Authorization");
     if (key_hash_.empty() || !given.starts_with(bearer))
     {
         return false;
@@ -94,7 +94,7 @@
                                     "check operator key",
                                     {},
                                     why});
-        if (!in.has_header("Authorization"))
+        if (in.headers_.find("Authorization") == nullptr)
         {
             out.set_status(status_unauthorized);
         }
--- a/src/http/peer_run.cpp
+++ b/src/http/peer_run.cpp
@@ -102,7 +102,7 @@
 bool peer_run::on_head(target_head const& head)
 {
     head_ = head;
-    outcome_ = head.header("X-Tanagerlead-Outcome");
+    outcome_ = head.headers_.value("X-Tanagerlead-Outcome");
     is_stream_ = head.status_ == status_ok &&
                  head.content_type_.starts_with("text/event-stream") &&
                  outcome_.empty();
@@ -156,7 +156,7 @@
         head_->status_,
         head_->content_type_,
         stream,
-        base::target_id{head_->header("X-Tanagerlead-Target")},
+        base::target_id{head_->headers_.value("X-Tanagerlead-Target")},
         {}};
     std::copy_if(head_->headers_.begin(), head_->headers_.end(),
                  std::back_inserter(answer.headers_),
@@ -183,10 +183,10 @@
         record_.end(
             {request::outcome::not_run,
              head_->status_,
-             head_->header("X-Tanagerlead-Cause"),
+             head_->headers_.value("X-Tanagerlead-Cause"),
              {base::error_code::unavailable, "ask the holder of the key",
               peer_.str(), "the daemon that holds the key did not run it"},
-             read_milliseconds(head_->header("X-Retry-After-Ms"))});
+             read_milliseconds(head_->headers_.value("X-Retry-After-Ms"))});
         return;
     }
     end_unknown("the daemon that holds the key does not know the outcome");
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,6 +4,7 @@
 #include "src/http/worker_pool.hpp"
 #include "src/net/http_listener.hpp"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -182,10 +183,12 @@
     {
         logger().error("Call failed. path=" + call.target_ +
                        " reason=" + problem.what());
-        asio::post(loop_, [from] { from->answer(unserved(internal_error)); });
+        asio::dispatch(loop_,
+                       [from] { from->answer(unserved(internal_error)); });
         return;
     }
-    asio::post(loop_, [from, reply = std::move(reply)] { send(from, reply); });
+    asio::dispatch(loop_,
+                   [from, reply = std::move(reply)] { send(from, reply); });
 }
 
 void server::impl::send(connection_ptr const& to, http_reply const& reply)
--- a/src/http/target_connection.cpp
+++ b/src/http/target_connection.cpp
@@ -29,12 +29,6 @@
 
 } // namespace
 
-std::string target_head::header(std::string_view name) const
-{
-    auto const* const found = headers_.find(name);
-    return found == nullptr ? std::string{} : *found;
-}
-
 std::unique_ptr<target_exchange> http_target_connection::begin(
     base::address const& target, target_call const& call,
     connection_limits const& limits, target_listener& listener)
--- a/src/http/target_connection.hpp
+++ b/src/http/target_connection.hpp
@@ -34,9 +34,6 @@
     int status_ = 0;
     std::string content_type_;
     net::header_list headers_;
-
-    /// Empty when there is no such header; case does not matter.
-    std::string header(std::string_view name) const;
 };
 
 enum class exchange_end
--- a/src/http/target_run.cpp
+++ b/src/http/target_run.cpp
@@ -141,7 +141,7 @@
 bool target_run::echoes_request(target_head const& head) const
 {
     // Plain services need not echo the id.
-    auto const echoed = head.header("X-Request-Id");
+    auto const echoed = head.headers_.value("X-Request-Id");
     auto const optional = !job_.model_ && echoed.empty();
     return optional || echoed == record_.identity().id_.str();
 }
@@ -401,15 +401,7 @@
         }
         return usage;
     }
-    std::string text;
-    auto const& answer = record_.answer();
-    for (std::uint64_t at = 0; at < answer.last_event();)
-    {
-        auto slice = answer.read_after(at);
-        at = slice.last_;
-        text += slice.bytes_;
-    }
-    return parse_usage(text);
+    return parse_usage(record_.answer().content());
 }
 
 void target_run::report(sched::dispatch_event event) const
--- a/src/http/url.cpp
+++ b/src/http/url.cpp
@@ -42,4 +42,15 @@
     return std::string{(*found).value};
 }
 
+std::string path_behind(std::string const& target, std::string_view prefix)
+{
+    auto const begin = target.find_first_of("/?", prefix.size());
+    if (begin == std::string::npos)
+    {
+        return "/";
+    }
+    auto const rest = target.substr(begin);
+    return rest.front() == '/' ? rest : '/' + rest;
+}
+
 } // namespace tanagerlead::http
--- a/src/http/url.hpp
+++ b/src/http/url.hpp
@@ -16,4 +16,8 @@
 std::optional<std::string> query_parameter(std::string_view target,
                                            std::string_view name);
 
+/// Path and query, as they were written, behind the part of the path that
+/// follows `prefix`; "/" when there is nothing.
+std::string path_behind(std::string const& target, std::string_view prefix);
+
 } // namespace tanagerlead::http
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -73,6 +73,12 @@
     return found == fields_.end() ? nullptr : &found->value_;
 }
 
+std::string header_list::value(std::string_view name) const
+{
+    auto const* const found = find(name);
+    return found == nullptr ? std::string{} : *found;
+}
+
 std::size_t header_list::count(std::string_view name) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -27,6 +27,8 @@
     void remove(std::string_view name);
     /// The first of that name; null when there is none.
     std::string const* find(std::string_view name) const;
+    /// The first of that name; empty when there is none.
+    std::string value(std::string_view name) const;
     std::size_t count(std::string_view name) const;
 
     auto begin() const { return fields_.begin(); }
--- a/src/request/answer_buffer.cpp
+++ b/src/request/answer_buffer.cpp
@@ -82,6 +82,18 @@
     return result;
 }
 
+std::string answer_buffer::content() const
+{
+    std::lock_guard const lock{mutex_};
+    std::string all;
+    all.reserve(bytes_);
+    for (auto const& event : events_)
+    {
+        all += event;
+    }
+    return all;
+}
+
 std::optional<answer_head> answer_buffer::head() const
 {
     std::lock_guard const lock{mutex_};
--- a/src/request/answer_buffer.hpp
+++ b/src/request/answer_buffer.hpp
@@ -71,6 +71,8 @@
 
     /// Events after number `after`, as far as they are there.
     slice read_after(std::uint64_t after) const;
+    /// All events so far.
+    std::string content() const;
 
     /// Called after each change, by the thread that made it and under the
     /// buffer's lock: it may only leave a note for another thread.
--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -14,12 +14,6 @@
 constexpr base::duration plain_time = 8ms;
 constexpr base::duration event_time = 10ms;
 
-std::string text_of(net::http_request const& in, char const* name)
-{
-    auto const* const found = in.headers_.find(name);
-    return found == nullptr ? std::string{} : *found;
-}
-
 net::http_response head_for(std::string const& id)
 {
     net::http_response head;
@@ -94,8 +88,8 @@
 void platform_target::on_request(connection_ptr const& from,
                                  net::http_request const& in)
 {
-    auto const id = text_of(in, "Tanagerlead-Request-Id");
-    if (text_of(in, "Tanagerlead-Target-Instance") != id_)
+    auto const id = in.headers_.value("Tanagerlead-Request-Id");
+    if (in.headers_.value("Tanagerlead-Target-Instance") != id_)
     {
         refuse(from, 421, id);
         return;
@@ -112,7 +106,7 @@
     from->on_left([this, r] { end(*r); });
     if (in.target_.starts_with("/stream/"))
     {
-        auto const last = text_of(in, "Last-Event-Id");
+        auto const last = in.headers_.value("Last-Event-Id");
         r->next_event_ = last.empty() ? 1 : std::stoi(last) + 1;
         auto head = head_for(id);
         head.headers_.add("Content-Type", "text/event-stream");
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -172,8 +172,7 @@
 
 void soak_caller::check_whole()
 {
-    auto const* const echoed = answer_.headers_.find("Tanagerlead-Request-Id");
-    if (echoed == nullptr || *echoed != id_)
+    if (answer_.headers_.value("Tanagerlead-Request-Id") != id_)
     {
         told_.fail("request " + id_ + " got an answer of another");
         return;
