Known red: three ways in which a daemon learns late that a target has left

- a watch that the store never answers, on a connection that looks alive, is waited for: no further call in 8 s (10 s and the call's timeout in the code);
- an attempt to reach the store that hangs holds up the next one until its timeout;
- a target that left while only this daemon was away from the store stays in use for the two seconds meant for entries that expired in an outage.

--- a/tests/entry/store_watcher_test.cpp
+++ b/tests/entry/store_watcher_test.cpp
@@ -16,6 +16,7 @@
 using namespace tanagerlead::entry;
 using tanagerlead::test::fake_store;
 using tanagerlead::test::store_error;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -78,6 +79,20 @@
             loop_.restart();
         }
     }
+
+    /// Whether the watcher makes a call. The limit is far beyond its own
+    /// timers, so that a busy machine does not decide.
+    bool has_call_within_seconds(int limit)
+    {
+        auto const end = net::now() + std::chrono::seconds{limit};
+        while (store_.lists_.empty() && store_.watches_.empty() &&
+               net::now() < end)
+        {
+            loop_.run_one_for(10ms);
+            loop_.restart();
+        }
+        return !store_.lists_.empty() || !store_.watches_.empty();
+    }
 };
 
 TEST(store_watcher, reads_all_pages_and_watches_from_the_revision_of_the_first)
@@ -211,6 +226,25 @@
     LONGS_EQUAL(1, store_.watches_.size());
 }
 
+// A store can stay silent on a connection that looks alive.
+TEST(store_watcher, a_watch_without_an_answer_does_not_hide_changes)
+{
+    watcher_.start();
+    fake_store::take(store_.lists_).done_(page({}, false, 7));
+    fake_store::take(store_.watches_);
+    CHECK(has_call_within_seconds(8));
+}
+
+TEST(store_watcher, a_hanging_call_does_not_delay_the_return_to_the_store)
+{
+    watcher_.start();
+    fake_store::take(store_.lists_)
+        .done_(base::failure(store_error(base::error_code::unavailable)));
+    run_until(store_.lists_);
+    fake_store::take(store_.lists_); // It is left without an answer.
+    CHECK(has_call_within_seconds(8));
+}
+
 TEST_GROUP(control_plane)
 {
     net::asio::io_context loop_;
@@ -372,6 +406,34 @@
     CHECK(published_.back()[0].draining_);
 }
 
+TEST(registry_reader,
+     a_target_that_left_while_this_daemon_was_away_is_dropped_at_once)
+{
+    std::vector<store_item> items{item("servers/a", target_entry("ready"), 1),
+                                  item("servers/b", target_entry("ready"), 2),
+                                  item("servers/c", target_entry("ready"), 3)};
+    reader_.on_items(items);
+    reader_.on_store_lost(store_error(base::error_code::unavailable));
+    reader_.on_store_recovered();
+    // The other entries did not expire, so neither did this one.
+    items.pop_back();
+    reader_.on_items(items);
+    LONGS_EQUAL(2, published_.back().size());
+}
+
+TEST(registry_reader, targets_that_expired_in_an_outage_may_register_again)
+{
+    std::vector<store_item> const items{
+        item("servers/a", target_entry("ready"), 1),
+        item("servers/b", target_entry("ready"), 2),
+        item("servers/c", target_entry("ready"), 3)};
+    reader_.on_items(items);
+    reader_.on_store_lost(store_error(base::error_code::unavailable));
+    reader_.on_store_recovered();
+    reader_.on_items({item("servers/c", target_entry("ready"), 9)});
+    LONGS_EQUAL(3, published_.back().size());
+}
+
 TEST(registry_reader, one_malformed_entry_does_not_affect_the_others)
 {
     reader_.on_items({item("servers/a", target_entry("ready"), 1),
