Following the store depends on no single call

Cause: a daemon learned of a departure from one call. A watch that the store never answers, on a connection that looks alive, was waited for, 10 s and the 1.5 s of the call's limit; a listing that hangs into the return of the store held up the next one for 1.5 s.

Change: routing::store_follower decides on the calls, without I/O. Attempts overlap, at most 0.59 s apart. A watch has a limit of its own. The daemons' watches end in turn, 1.2 s apart at most in a fleet of up to eight and 10 s by their number in larger ones, so the number of calls stays as it was; a daemon that hears nobody has watches of 1.2 s. Reports name the revision of the newest registry change for 12 s, and a daemon whose watch does not return it within 150 ms lists again.

Ruled out: shorter watches for all (five times the calls), shorter limits of calls (a slow store would never answer).

--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -40,9 +40,11 @@
                         store,
                         registry_,
                         {wire.target_prefix(), min_registry_interval,
-                         [this]
+                         [this] { configuration_watcher_.on_store_reached(); },
+                         [this, report = std::move(outputs.registry_changed_)](
+                             store_revision newest)
                          {
-                             configuration_watcher_.on_store_reached();
+                             report({era_.current(), newest});
                          }},
                         base::entropy()},
       registration_{loop, store, s.daemon_.str(), s.callers_.ip_,
@@ -133,6 +135,21 @@
         });
 }
 
+// Revisions of different eras cannot be compared.
+void control_plane::on_registry_change(routing::registry_change change)
+{
+    if (change.era_ == era_.current())
+    {
+        registry_watcher_.on_peer_revision(change.revision_);
+    }
+}
+
+void control_plane::on_position(routing::follower_position position)
+{
+    configuration_watcher_.set_position(position);
+    registry_watcher_.set_position(position);
+}
+
 void control_plane::shut_down(std::function<void()> done)
 {
     configuration_watcher_.stop();
--- a/src/entry/control_plane.hpp
+++ b/src/entry/control_plane.hpp
@@ -19,13 +19,18 @@
     daemon_registration::publish_callback daemons_;
     /// Called when the store was restored from an older copy.
     std::function<void()> store_restored_;
+    /// Called when the registry has changed.
+    std::function<void(routing::registry_change)> registry_changed_ =
+        [](routing::registry_change) {
+        };
 };
 
 /// Maintains the configuration, the target registry and the list of daemons.
 /// Each is read from the store independently of the others, but after an outage
 /// the first one that reaches the store again makes the others try at once: the
-/// time that missing targets are kept counts from there. Everything runs on one
-/// loop.
+/// time that missing targets are kept counts from there. Other daemons hurry
+/// the reading of the registry when they know of later changes. Everything runs
+/// on one loop.
 class control_plane
 {
 public:
@@ -37,6 +42,10 @@
     /// Fetches the configuration from the daemon at `ip`, which has a newer
     /// one.
     void on_newer_configuration(std::string const& ip);
+    /// Another daemon knows of this change of the registry.
+    void on_registry_change(routing::registry_change change);
+    /// Place of this daemon among those that hear each other.
+    void on_position(routing::follower_position position);
     /// Stops reading the store and deregisters this daemon. `done` may run
     /// before the call returns.
     void shut_down(std::function<void()> done);
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -26,6 +26,10 @@
 constexpr base::duration retry_when_quarantined = 60s;
 /// Reports arrive more often than daemons become silent.
 constexpr base::duration heard_check_interval = 20ms;
+/// How long a change of the registry is named in reports. By then each daemon
+/// has ended a watch.
+constexpr base::duration registry_change_report_time =
+    routing::store_follower::max_watch_time + 2s;
 
 } // namespace
 
@@ -132,6 +136,24 @@
     update_heard_part();
 }
 
+void data_plane::on_registry_change(routing::registry_change change)
+{
+    registry_change_ = change;
+    registry_changed_at_ = net::now();
+    peers_.schedule_reports();
+}
+
+void data_plane::on_reported_registry_change(routing::registry_change change)
+{
+    auto const is_known = change.era_ == registry_change_.era_ &&
+                          change.revision_ <= registry_change_.revision_;
+    if (!is_known && change != reported_registry_change_)
+    {
+        reported_registry_change_ = change;
+        store_news_.registry_change_(change);
+    }
+}
+
 routing::daemon_state data_plane::own_state() const
 {
     if (shutdown_.has_begun())
@@ -533,6 +555,11 @@
     usage_schedules_.at(static_cast<std::size_t>(to))
         .add_to(report, quotas_, usage_time, now);
     crashes_.add_notices(report, now);
+    if (registry_changed_at_ != base::time_point::min() &&
+        now - registry_changed_at_ <= registry_change_report_time)
+    {
+        report.registry_changes_.push_back(registry_change_);
+    }
 }
 
 void data_plane::on_role_changed(routing::daemon_role role)
@@ -548,6 +575,12 @@
     auto const now = net::now();
     heard_checked_at_ = now;
     quotas_.set_heard_fraction(peers_.board().heard_fraction(now), now);
+    auto const position = peers_.position(now);
+    if (position != position_)
+    {
+        position_ = position;
+        store_news_.position_(position);
+    }
 }
 
 void data_plane::on_peer_report(routing::peer_ip from,
@@ -572,6 +605,10 @@
     {
         dispatcher_.on_leaving_reported(target, now);
     }
+    for (auto const& change : report.registry_changes_)
+    {
+        on_reported_registry_change(change);
+    }
     auto const own_version =
         configuration_ ? static_cast<std::uint64_t>(configuration_->version())
                        : 0;
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -26,10 +26,23 @@
     using newer_configuration_callback =
         std::function<void(std::string const& ip)>;
 
+    /// Receivers of what other daemons report about the store; called on the
+    /// data plane's loop.
+    struct store_news_callbacks
+    {
+        std::function<void(routing::registry_change)> registry_change_;
+        std::function<void(routing::follower_position)> position_;
+    };
+
     data_plane(net::asio::io_context& loop, settings const& s,
                protocol const& wire,
                newer_configuration_callback on_newer_configuration);
 
+    void set_store_news_callbacks(store_news_callbacks callbacks)
+    {
+        store_news_ = std::move(callbacks);
+    }
+
     base::result<void> start();
     /// Local addresses of the listeners.
     base::address callers_address() const { return callers_.local_address(); }
@@ -41,6 +54,8 @@
     void on_configuration(routing::configuration_ptr configuration);
     void on_targets(std::vector<routing::target_info> const& targets);
     void on_daemons(std::vector<std::string> const& ips);
+    /// This daemon has read a change of the registry.
+    void on_registry_change(routing::registry_change change);
     /// The store was restored from an older copy; counted for operators.
     void on_store_restored() { ++store_restorations_; }
 
@@ -104,11 +119,15 @@
     bool is_ready() const;
     routing::daemon_state own_state() const;
     void update_heard_part();
+    void on_reported_registry_change(routing::registry_change change);
 
     net::asio::io_context& loop_;
     settings settings_;
     protocol const& protocol_;
     newer_configuration_callback on_newer_configuration_;
+    store_news_callbacks store_news_{[](routing::registry_change) {},
+                                     [](routing::follower_position) {
+                                     }};
     rate_limited_log log_{"entry"};
     base::random_source random_;
     std::uint64_t incarnation_;
@@ -135,6 +154,11 @@
     std::map<base::request_id, std::shared_ptr<call>> calls_;
     std::array<routing::usage_schedule, report_group_count> usage_schedules_{};
     base::time_point heard_checked_at_{};
+    routing::follower_position position_;
+    routing::registry_change registry_change_;
+    base::time_point registry_changed_at_ = base::time_point::min();
+    /// The last one that was passed to the control plane.
+    routing::registry_change reported_registry_change_;
     int store_restorations_ = 0;
     /// The store has told which daemons there are.
     bool is_fleet_listed_ = false;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -55,6 +55,11 @@
            {
                net::asio::post(data_plane_loop_,
                                [this] { data_plane_.on_store_restored(); });
+           },
+           [this](routing::registry_change change)
+           {
+               net::asio::post(data_plane_loop_, [this, change]
+                               { data_plane_.on_registry_change(change); });
            }}},
       signals_{data_plane_loop_, SIGTERM, SIGINT, SIGHUP},
       log_flush_timer_{data_plane_loop_, [this]
@@ -63,6 +68,17 @@
                            log_flush_timer_.set_after(log_flush_interval);
                        }}
 {
+    data_plane_.set_store_news_callbacks(
+        {[this](routing::registry_change change)
+         {
+             net::asio::post(control_loop_, [this, change]
+                             { control_plane_.on_registry_change(change); });
+         },
+         [this](routing::follower_position position)
+         {
+             net::asio::post(control_loop_, [this, position]
+                             { control_plane_.on_position(position); });
+         }});
 }
 
 entry_daemon::~entry_daemon()
--- a/src/entry/metadata_store.hpp
+++ b/src/entry/metadata_store.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/error.hpp"
 #include "src/base/units.hpp"
+#include "src/routing/store_revision.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -11,20 +12,13 @@
 namespace tanagerlead::entry
 {
 
-enum class store_revision : std::uint64_t
-{
-};
+using routing::store_era;
+using routing::store_revision;
 
 enum class store_lease : std::uint64_t
 {
 };
 
-/// Number of the store's current copy of its data. It rises by one each time
-/// the store is restored from an older copy.
-enum class store_era : std::uint64_t
-{
-};
-
 /// Era of an answer that names none.
 inline constexpr store_era unknown_store_era{0};
 
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -51,6 +51,7 @@
         archive(report_format, report);
         report.serialize_leaving(archive);
         report.serialize_role(archive);
+        report.serialize_registry_change(archive);
     }
     return std::move(out).str();
 }
@@ -81,6 +82,10 @@
         {
             report.serialize_role(archive);
         }
+        if (has_more(in))
+        {
+            report.serialize_registry_change(archive);
+        }
         return true;
     }
     catch (cereal::Exception const&)
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -78,6 +78,12 @@
     /// Updates the addresses of all daemons registered in the store.
     void on_listed(std::vector<std::string> const& ips);
 
+    /// Place of this daemon among those that it hears.
+    routing::follower_position position(base::time_point now) const
+    {
+        return board_.position_of(self_, now);
+    }
+
     routing::peer_table& board() { return board_; }
     routing::peer_table const& board() const { return board_; }
     std::uint64_t sent_count() const { return sent_count_; }
--- a/src/entry/store_watcher.cpp
+++ b/src/entry/store_watcher.cpp
@@ -5,20 +5,21 @@
 namespace tanagerlead::entry
 {
 
-using namespace std::chrono_literals;
+using routing::store_call;
+using routing::store_call_id;
 
 namespace
 {
 
-/// Exponential backoff after failed calls, since each call has a cost. The
-/// maximum lets changes take effect within two seconds after the end of an
-/// outage, and lets a target that left during it be dropped in time.
-constexpr base::duration initial_backoff = 200ms;
-constexpr base::duration max_backoff = 700ms;
-/// Probes of the connection detect an unresponsive store sooner.
-constexpr base::duration max_watch_time = 10s;
-/// Spreads the calls of all daemons after the store was restored.
-constexpr base::duration max_restart_delay = 300ms;
+store_revision newest_of(std::vector<store_item> const& items)
+{
+    store_revision newest{};
+    for (auto const& item : items)
+    {
+        newest = std::max(newest, item.revision_);
+    }
+    return newest;
+}
 
 } // namespace
 
@@ -26,161 +27,200 @@
                              store_observer& observer, settings s,
                              std::uint64_t seed)
     : store_{store}, observer_{observer}, settings_{std::move(s)},
-      random_{seed}, backoff_{initial_backoff}, timer_{loop, [this]
+      follower_{settings_.min_interval_, seed}, timer_{loop, [this]
                                                        {
-                                                           is_retry_scheduled_ =
-                                                               false;
-                                                           if (is_synced_)
-                                                           {
-                                                               watch();
-                                                           }
-                                                           else
-                                                           {
-                                                               read_page("");
-                                                           }
+                                                           advance();
                                                        }}
 {
 }
 
+void store_watcher::start()
+{
+    follower_.start(net::now());
+    advance();
+}
+
 void store_watcher::stop()
 {
+    is_stopped_ = true;
     calls_.close();
     timer_.clear();
 }
 
+void store_watcher::restart()
+{
+    calls_.give_up_calls();
+    reported_change_ = {};
+    follower_.restart(net::now());
+    advance();
+}
+
 void store_watcher::retry_now()
 {
-    if (is_retry_scheduled_)
-    {
-        timer_.set(net::now());
-    }
+    follower_.retry_now(net::now());
+    advance();
 }
 
 void store_watcher::on_store_reached()
 {
-    if (!is_lost_)
+    follower_.on_store_reached(net::now());
+    advance();
+}
+
+void store_watcher::list_now()
+{
+    follower_.list_now(net::now());
+    advance();
+}
+
+void store_watcher::set_position(routing::follower_position position)
+{
+    follower_.set_position(position);
+    advance();
+}
+
+void store_watcher::on_peer_revision(store_revision revision)
+{
+    follower_.on_peer_revision(revision, net::now());
+    advance();
+}
+
+void store_watcher::advance()
+{
+    if (is_stopped_)
     {
         return;
     }
-    calls_.give_up_calls();
-    timer_.clear();
-    is_retry_scheduled_ = false;
-    is_synced_ = false;
-    read_page("");
+    auto const calls = follower_.advance(net::now());
+    if (follower_.is_lost())
+    {
+        report_gap({base::error_code::unavailable, "watch keys", "store",
+                    routing::name_of(follower_.current_gap())});
+    }
+    for (auto const& call : calls)
+    {
+        if (call.kind_ == store_call::kind::watch)
+        {
+            watch(call);
+        }
+        else
+        {
+            read_page(std::make_shared<listing>(listing{call.id_, {}, {}}));
+        }
+    }
+    timer_.set(follower_.next_wakeup());
 }
 
-void store_watcher::read_page(std::string const& after)
+void store_watcher::read_page(std::shared_ptr<listing> const& pages)
 {
-    is_first_page_ = after.empty();
-    store_.list(settings_.prefix_, after, false,
-                calls_.wrap([this](base::result<store_page> page)
-                            { on_page(std::move(page)); }));
+    store_.list(settings_.prefix_,
+                pages->items_.empty() ? std::string{}
+                                      : pages->items_.back().key_,
+                false,
+                calls_.wrap([this, pages](base::result<store_page> page)
+                            { on_page(pages, std::move(page)); }));
 }
 
-void store_watcher::on_page(base::result<store_page> page)
+void store_watcher::on_page(std::shared_ptr<listing> const& pages,
+                            base::result<store_page> page)
 {
-    if (!page)
+    if (!follower_.is_wanted(pages->call_))
     {
-        on_failure(page.error());
         return;
     }
-    auto& result = page.value();
-    if (is_first_page_)
+    if (!page)
     {
-        items_.clear();
-        // Changes between two pages are returned by the first watch.
-        first_page_revision_ = result.revision_;
+        on_failure(pages->call_, page.error());
+        return;
     }
+    auto& result = page.value();
+    pages->first_page_revision_ =
+        pages->first_page_revision_.value_or(result.revision_);
     for (auto& item : result.items_)
     {
-        items_.push_back(std::move(item));
+        pages->items_.push_back(std::move(item));
     }
-    if (result.has_more_ && !items_.empty())
+    if (result.has_more_ && !pages->items_.empty())
     {
-        read_page(items_.back().key_);
+        read_page(pages);
         return;
     }
-    revision_ = first_page_revision_;
-    is_synced_ = true;
-    on_success();
-    observer_.on_items(items_);
-    items_.clear();
-    watch();
+    follower_.on_listed(pages->call_, *pages->first_page_revision_,
+                        newest_of(pages->items_), net::now());
+    if (std::exchange(is_gap_reported_, false))
+    {
+        observer_.on_store_recovered();
+        settings_.on_recovered_();
+    }
+    observer_.on_items(pages->items_);
+    report_newest_change();
+    advance();
 }
 
-void store_watcher::watch()
+void store_watcher::watch(store_call const& call)
 {
-    store_.watch(settings_.prefix_, revision_, max_watch_time,
-                 calls_.wrap([this](base::result<store_changes> changes)
-                             { on_changes(std::move(changes)); }));
+    store_.watch(
+        settings_.prefix_, call.after_, call.wait_,
+        calls_.wrap([this, id = call.id_](base::result<store_changes> changes)
+                    { on_changes(id, std::move(changes)); }));
 }
 
-void store_watcher::on_changes(base::result<store_changes> changes)
+void store_watcher::on_changes(store_call_id call,
+                               base::result<store_changes> changes)
 {
+    if (!follower_.is_wanted(call))
+    {
+        return;
+    }
     if (!changes)
     {
         if (changes.error().code_ == base::error_code::not_found)
         {
             // The history was compacted; this is not an outage.
-            is_synced_ = false;
-            read_page("");
+            follower_.on_history_lost(call, net::now());
+            advance();
             return;
         }
-        on_failure(changes.error());
+        on_failure(call, changes.error());
         return;
     }
-    on_success();
     auto const& result = changes.value();
-    revision_ = std::max(revision_, result.revision_);
-    if (result.items_.empty())
+    std::optional<store_revision> newest;
+    if (!result.items_.empty())
     {
-        watch();
-        return;
+        newest = newest_of(result.items_);
     }
-    observer_.on_changes(result.items_);
-    if (settings_.min_interval_ > 0s)
+    follower_.on_changes(call, result.revision_, newest, net::now());
+    if (newest)
     {
-        timer_.set_after(settings_.min_interval_);
-        return;
+        observer_.on_changes(result.items_);
+        report_newest_change();
     }
-    watch();
+    advance();
 }
 
-void store_watcher::on_failure(base::error const& why)
+void store_watcher::on_failure(store_call_id call, base::error const& why)
 {
-    if (!is_lost_)
-    {
-        is_lost_ = true;
-        observer_.on_store_lost(why);
-    }
-    retry_after(base::from_seconds(base::seconds(backoff_) *
-                                   (0.7 + 0.6 * random_.uniform())));
-    backoff_ = std::min(2 * backoff_, base::duration{max_backoff});
+    follower_.on_failure(call, net::now());
+    report_gap(why);
+    advance();
 }
 
-void store_watcher::restart()
+void store_watcher::report_newest_change()
 {
-    calls_.give_up_calls();
-    retry_after(base::from_seconds(base::seconds(max_restart_delay) *
-                                   random_.uniform()));
-}
-
-// Missed changes are picked up by a new listing.
-void store_watcher::retry_after(base::duration delay)
-{
-    is_synced_ = false;
-    is_retry_scheduled_ = true;
-    timer_.set_after(delay);
+    auto const newest = follower_.newest_change();
+    if (newest > reported_change_)
+    {
+        reported_change_ = newest;
+        settings_.on_newest_change_(newest);
+    }
 }
 
-void store_watcher::on_success()
+void store_watcher::report_gap(base::error const& why)
 {
-    backoff_ = initial_backoff;
-    if (is_lost_)
+    if (!std::exchange(is_gap_reported_, true))
     {
-        is_lost_ = false;
-        observer_.on_store_recovered();
-        settings_.on_recovered_();
+        observer_.on_store_lost(why);
     }
 }
 
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/ids.hpp"
 #include "src/base/serialization.hpp"
+#include "src/routing/store_revision.hpp"
 #include "src/routing/target_info.hpp"
 
 #include <cereal/types/common.hpp>
@@ -105,6 +106,7 @@
     static constexpr std::size_t max_crashes = 8;
     static constexpr std::size_t max_addresses = 16;
     static constexpr std::size_t max_leaving = 16;
+    static constexpr std::size_t max_registry_changes = 1;
 
     /// Random number for each start of the sender.
     std::uint64_t incarnation_ = 0;
@@ -124,6 +126,9 @@
     /// Time to the sender's next report to the same daemons, unless there is
     /// news; 0: unknown.
     std::uint16_t interval_ms_ = 0;
+    /// At most one, and only while it is so recent that the recipient may not
+    /// have it.
+    std::vector<registry_change> registry_changes_;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -151,6 +156,12 @@
         archive(role_, interval_ms_);
         role_ = std::min(role_, daemon_role::standby);
     }
+
+    template <class Archive>
+    void serialize_registry_change(Archive& archive)
+    {
+        base::serialize_list(archive, registry_changes_, max_registry_changes);
+    }
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -267,6 +267,21 @@
     return static_cast<double>(heard) / static_cast<double>(all);
 }
 
+follower_position peer_table::position_of(peer_ip self,
+                                          base::time_point now) const
+{
+    follower_position out;
+    for (auto const& [ip, p] : peers_)
+    {
+        if (p.is_heard(now))
+        {
+            ++out.count_;
+            out.index_ += ip < self ? 1 : 0;
+        }
+    }
+    return out;
+}
+
 std::optional<peer_ip>
 peer_table::peer_with_newer_config(std::uint64_t than,
                                    base::time_point now) const
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/units.hpp"
 #include "src/routing/peer_report.hpp"
+#include "src/routing/store_follower.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -79,6 +80,8 @@
     /// Number of heard daemons divided by that of known ones, both including
     /// this one. Daemons that stand by do not count: they spend nothing.
     double heard_fraction(base::time_point now) const;
+    /// Place of the daemon `self` among itself and the heard ones.
+    follower_position position_of(peer_ip self, base::time_point now) const;
     /// The heard daemon with the highest configuration version above `than`.
     std::optional<peer_ip> peer_with_newer_config(std::uint64_t than,
                                                   base::time_point now) const;
