A target that is missing from the registry counts as gone by evidence, not by time

Cause: after any gap, missing targets were kept for the two seconds that targets have to register again after an outage, also when only this daemon or its connection had been away. Noticing a dead connection takes up to 3 s, so a departure counted after 5.3 s, with a stable window of 3 to 5 s.

Change: an outage in which entries expire takes those of all live targets, so if the listing after a gap holds half or more of the known targets unchanged, the missing ones are dropped at once. Removals of half the targets in one answer count as expiries behind a silent store. When the settle time ends, the registry is listed, and the answer decides.

--- a/src/entry/registry_reader.cpp
+++ b/src/entry/registry_reader.cpp
@@ -1,5 +1,7 @@
 #include "src/entry/registry_reader.hpp"
 
+#include <algorithm>
+
 namespace tanagerlead::entry
 {
 
@@ -7,7 +9,7 @@
                                  protocol const& wire, publish_callback publish)
     : protocol_{wire}, publish_{std::move(publish)}, timer_{loop, [this]
                                                             {
-                                                                this->publish();
+                                                                list_();
                                                             }}
 {
 }
@@ -28,35 +30,46 @@
     return std::move(entry).value();
 }
 
+std::size_t registry_reader::count_written_before(
+    std::vector<store_item> const& items) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(items.begin(), items.end(),
+                      [this](store_item const& item)
+                      { return item.revision_ <= newest_revision_; }));
+}
+
 void registry_reader::on_items(std::vector<store_item> const& items)
 {
+    auto const now = net::now();
+    if (std::exchange(is_listing_after_gap_, false))
+    {
+        directory_.on_registry_back(count_written_before(items), now);
+    }
+    newest_revision_ = {};
     std::vector<routing::target_info> entries;
     for (auto const& item : items)
     {
+        newest_revision_ = std::max(newest_revision_, item.revision_);
         if (auto entry = read(item))
         {
             entries.push_back(std::move(*entry));
         }
     }
-    directory_.on_list(std::move(entries), net::now());
+    directory_.on_list(std::move(entries), now);
     publish();
 }
 
 void registry_reader::on_changes(std::vector<store_item> const& items)
 {
-    auto const now = net::now();
+    std::vector<routing::target_change> changes;
     for (auto const& item : items)
     {
-        auto entry = item.removed_ ? std::nullopt : read(item);
-        if (entry)
-        {
-            directory_.on_entry(std::move(*entry));
-        }
-        else
-        {
-            directory_.on_removed(protocol_.target_id_of(item.key_), now);
-        }
+        newest_revision_ = std::max(newest_revision_, item.revision_);
+        changes.push_back({protocol_.target_id_of(item.key_),
+                           item.removed_ ? std::nullopt : read(item)});
     }
+    directory_.on_changes(changes, net::now());
     publish();
 }
 
@@ -70,13 +83,14 @@
 
 void registry_reader::on_store_recovered()
 {
-    directory_.on_registry_back(net::now());
+    is_listing_after_gap_ = true;
     log_.write(log_category::control_plane,
                log_line{"Registry available again."}, net::now());
 }
 
 void registry_reader::on_new_era()
 {
+    newest_revision_ = {};
     directory_.on_registry_restored(net::now());
 }
 
--- a/src/entry/registry_reader.hpp
+++ b/src/entry/registry_reader.hpp
@@ -19,6 +19,12 @@
     registry_reader(net::asio::io_context& loop, protocol const& wire,
                     publish_callback publish);
 
+    /// `list` is called when a listing must show which targets have left.
+    void set_listing_callback(std::function<void()> list)
+    {
+        list_ = std::move(list);
+    }
+
     void on_items(std::vector<store_item> const& items) override;
     void on_changes(std::vector<store_item> const& items) override;
     void on_store_lost(base::error const& why) override;
@@ -28,14 +34,23 @@
 
 private:
     std::optional<routing::target_info> read(store_item const& item);
+    /// How many items were written before the newest one that was read before.
+    std::size_t
+    count_written_before(std::vector<store_item> const& items) const;
     void publish();
 
     protocol const& protocol_;
     publish_callback publish_;
+    std::function<void()> list_ = [] {
+    };
     rate_limited_log log_{"registry"};
     routing::target_directory directory_;
     net::deadline_timer timer_;
     std::vector<routing::target_info> last_published_;
+    /// Revision of the newest entry or removal that was read.
+    store_revision newest_revision_{};
+    /// The store is back, and the listing that shows what it kept is due.
+    bool is_listing_after_gap_ = false;
     bool has_published_ = false;
 };
 
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -110,6 +110,43 @@
     }
 }
 
+void target_directory::on_registry_back(std::size_t kept, base::time_point now)
+{
+    if (has_expired(known_.size() - std::min(kept, known_.size())))
+    {
+        on_registry_back(now);
+    }
+    registry_lost_ = false;
+}
+
+void target_directory::on_changes(std::vector<target_change> const& changes,
+                                  base::time_point now)
+{
+    auto const removals =
+        std::count_if(changes.begin(), changes.end(),
+                      [this](target_change const& change) {
+                          return !change.entry_ && known_.contains(change.id_);
+                      });
+    // The store was silent for so long that entries expired, and the watch
+    // outlived that.
+    if (removals > 1 && has_expired(static_cast<std::size_t>(removals)))
+    {
+        on_registry_lost();
+        on_registry_back(now);
+    }
+    for (auto const& change : changes)
+    {
+        if (change.entry_)
+        {
+            on_entry(*change.entry_);
+        }
+        else
+        {
+            on_removed(change.id_, now);
+        }
+    }
+}
+
 void target_directory::on_registry_restored(base::time_point now)
 {
     registry_restored_ = true;
