A daemon that hears nobody knows it

A daemon that no report reaches kept the last value, so it and the others spent the whole quota each.

Test: peer_exchange.silence_of_all_daemons_is_noticed_without_a_report.

--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -95,6 +95,7 @@
     void
     on_peer_report(routing::peer_ip from, routing::peer_report const& report,
                    routing::peer_table::report_delta const& delta) override;
+    void on_heartbeat() override { update_heard_part(); }
     bool has_calls() const override { return !calls_.empty(); }
     void on_role_changed(routing::daemon_role role) override;
 
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -305,6 +305,7 @@
     {
         try_seeds();
     }
+    delegate_.on_heartbeat();
     update_role();
     for (auto& schedule : schedules_)
     {
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -46,6 +46,8 @@
     virtual void
     on_peer_report(routing::peer_ip from, routing::peer_report const& report,
                    routing::peer_table::report_delta const& delta) = 0;
+    /// Called several times a second, also when no daemon is heard.
+    virtual void on_heartbeat() = 0;
     /// Whether a caller's request is in progress.
     virtual bool has_calls() const = 0;
     virtual void on_role_changed(routing::daemon_role role) = 0;
