Soak: targets depart, and open connections to the store go silent

A target leaves by its registry entry, with draining or by removal, and goes on serving; a request that reaches it 2 s later breaks the promise, unless the store or a daemon was disturbed in the 3 s before. The open connections of one daemon to the store go silent for good while new ones work.

--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -17,6 +17,8 @@
 /// Time within which every daemon must have heard of a shutdown from the
 /// others.
 constexpr base::duration leaving_reaction_time = 2s;
+/// Time within which a departure that the store has accepted must count.
+constexpr base::duration departure_time = 2s;
 /// Time within which a daemon must respect a pause.
 constexpr base::duration pause_reaction_time = 500ms;
 /// Requests that may arrive in a pause after that time: two from each of the
@@ -76,6 +78,10 @@
 void platform_target::check_wanted()
 {
     auto const now = net::now();
+    if (departed_at_ && now - *departed_at_ > departure_time)
+    {
+        on_departed_request_();
+    }
     if (is_leaving_)
     {
         if (announced_at_ && now - *announced_at_ > leaving_reaction_time)
@@ -95,6 +101,7 @@
 {
     is_leaving_ = false;
     announced_at_.reset();
+    departed_at_.reset();
     paused_until_ = {};
     id_ = "t" + std::to_string(number_) + "-" + std::to_string(++incarnation_);
     auto listening = listener_.listen(address_);
--- a/tests/soak/platform_target.hpp
+++ b/tests/soak/platform_target.hpp
@@ -33,12 +33,17 @@
 
     /// Announces its shutdown in all answers until it starts again.
     void announce_leaving();
+    /// Its registry entry says from now on that it leaves, or is gone.
+    void depart() { departed_at_ = net::now(); }
+    bool has_departed() const { return departed_at_.has_value(); }
     /// Turns requests away for `pause` and asks each daemon to wait for that
     /// long.
     void turn_away(base::duration pause);
     /// Called when a request arrives although all daemons must have heard that
     /// the target wants none, with the time since when they must have heard it.
     std::function<void(base::time_point)> on_unwanted_;
+    /// Called when a request arrives later than the bound after `depart`.
+    std::function<void()> on_departed_request_;
 
 private:
     using connection_ptr = std::shared_ptr<net::caller_connection>;
@@ -67,6 +72,7 @@
     int incarnation_ = 0;
     /// When the first answer since the start announced the shutdown.
     std::optional<base::time_point> announced_at_;
+    std::optional<base::time_point> departed_at_;
     bool is_leaving_ = false;
     base::time_point turned_away_at_{};
     base::time_point paused_until_{};
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -27,6 +27,11 @@
 constexpr double min_served_fraction = 0.9;
 /// Time until a new version is in force when there are no faults.
 constexpr base::duration max_rollout_time = 3s;
+/// Until the entries of targets that have ended lapse.
+constexpr base::duration lapse_time = 3s;
+/// After the end of a disturbance, this time passes until departures must count
+/// in time.
+constexpr base::duration stable_window = 3s;
 /// Age of a process before it gets a signal.
 constexpr base::duration min_age_for_signal = 200ms;
 /// Allowed beyond the grace period, since the machine may be busy.
@@ -71,6 +76,9 @@
     {"silence a target", &soak_run::silence_target},
     {"delay a target", &soak_run::delay_target},
     {"drain a target", &soak_run::drain_target},
+    {"a target departs", &soak_run::depart_target},
+    {"silence open connections to the store",
+     &soak_run::silence_store_connections},
     {"change the configuration", &soak_run::change_configuration},
     {"restore the store", &soak_run::restore_store},
     {"target announces its shutdown", &soak_run::announce_leaving},
@@ -137,6 +145,10 @@
         {
             on_unwanted_request(*stand_in, since);
         };
+        target->on_departed_request_ = [this, stand_in = target.get()]
+        {
+            on_departed_request(*stand_in);
+        };
         targets_.push_back({std::move(target), std::move(relay), true});
         write_target(targets_.back(), "ready");
     }
@@ -310,6 +322,7 @@
 std::string soak_run::cut_store()
 {
     auto& d = any_daemon();
+    disturb_store_until(net::now());
     d.store_relay().apply({relay_action::cut, {}, false, {}});
     return name_of(d);
 }
@@ -321,7 +334,19 @@
         relay_direction::both, relay_direction::forward, relay_direction::back};
     d.store_relay().apply(
         {relay_action::silence, ways.at(random_.below(ways.size())), true, {}});
-    restore_after(between(500ms, 5s), d.store_relay());
+    auto const length = between(500ms, 5s);
+    disturb_store_until(net::now() + length);
+    restore_after(length, d.store_relay());
+    return name_of(d);
+}
+
+// New connections work, and the open ones look alive.
+std::string soak_run::silence_store_connections()
+{
+    auto& d = any_daemon();
+    disturb_store_until(net::now());
+    d.store_relay().apply(
+        {relay_action::silence, relay_direction::both, false, {}});
     return name_of(d);
 }
 
@@ -330,22 +355,27 @@
     auto& d = any_daemon();
     d.store_relay().apply(
         {relay_action::delay, {}, true, between(50ms, 800ms)});
-    restore_after(between(500ms, 3s), d.store_relay());
+    auto const length = between(500ms, 3s);
+    disturb_store_until(net::now() + length);
+    restore_after(length, d.store_relay());
     return name_of(d);
 }
 
 std::string soak_run::refuse_at_store()
 {
     store_.set_fault(store_fault::refuses);
-    after(between(200ms, 4s), [this] { store_.set_fault(store_fault::none); });
+    auto const length = between(200ms, 4s);
+    disturb_store_until(net::now() + length);
+    after(length, [this] { store_.set_fault(store_fault::none); });
     return "all";
 }
 
 std::string soak_run::forget_at_store()
 {
     store_.set_fault(store_fault::forgets);
-    after(between(50ms, 500ms),
-          [this] { store_.set_fault(store_fault::none); });
+    auto const length = between(50ms, 500ms);
+    disturb_store_until(net::now() + length);
+    after(length, [this] { store_.set_fault(store_fault::none); });
     return "all";
 }
 
@@ -407,7 +437,7 @@
 std::string soak_run::drain_target()
 {
     auto& place = any_target();
-    if (!place.up_)
+    if (!place.up_ || place.target_->has_departed())
     {
         return {};
     }
@@ -415,7 +445,8 @@
     after(between(300ms, 2s),
           [this, &place, id = place.target_->id()]
           {
-              if (place.up_ && place.target_->id() == id)
+              if (place.up_ && place.target_->id() == id &&
+                  !place.target_->has_departed())
               {
                   write_target(place, "ready");
               }
@@ -423,6 +454,36 @@
     return place.target_->id();
 }
 
+// It goes on serving for longer than a departure takes to count.
+std::string soak_run::depart_target()
+{
+    auto& place = any_target();
+    if (!place.up_ || place.target_->has_departed())
+    {
+        return {};
+    }
+    auto const id = place.target_->id();
+    if (random_.below(2) == 0)
+    {
+        write_target(place, "draining");
+    }
+    else
+    {
+        place.state_ = nullptr;
+        store_.remove("servers/" + id);
+    }
+    place.target_->depart();
+    after(between(3s, 6s),
+          [this, &place, id]
+          {
+              if (place.up_ && place.target_->id() == id)
+              {
+                  replace_target(place);
+              }
+          });
+    return id;
+}
+
 std::string soak_run::change_configuration()
 {
     write_configuration();
@@ -434,19 +495,21 @@
 std::string soak_run::restore_store()
 {
     store_.restore_copy(between(500ms, 3s), random_.below(2) == 0);
+    // Entries of targets that have left since the copy was made lapse last.
+    disturb_store_until(net::now() + lapse_time);
     after(between(50ms, 1s), [this] { store_.put("op/config", document_); });
     for (auto& place : targets_)
     {
         after(between(50ms, 1200ms),
               [this, &place]
               {
-                  if (place.up_)
+                  if (place.up_ && place.state_ != nullptr)
                   {
                       write_target(place, place.state_);
                   }
               });
     }
-    after(3s, [this] { remove_lapsed_targets(); });
+    after(lapse_time, [this] { remove_lapsed_targets(); });
     return "all";
 }
 
@@ -508,6 +571,21 @@
     }
 }
 
+void soak_run::on_departed_request(platform_target const& target)
+{
+    auto const stable_since = net::now() - stable_window;
+    auto const all_calm = std::all_of(daemons_.begin(), daemons_.end(),
+                                      [&](daemon_process const& d) {
+                                          return d.is_up() && !d.is_frozen() &&
+                                                 d.calm_since() < stable_since;
+                                      });
+    if (all_calm && store_disturbed_until_ < stable_since)
+    {
+        ledger_.fail("target " + target.id() +
+                     " got a request after its departure");
+    }
+}
+
 void soak_run::restore_after(base::duration delay, fakes::relay& faulty)
 {
     after(delay, [&faulty] { restore(faulty); });
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -45,7 +45,7 @@
         std::unique_ptr<platform_target> target_;
         std::unique_ptr<fakes::relay> relay_;
         bool up_ = true;
-        /// State in its registry entry.
+        /// State in its registry entry; null if it has removed the entry.
         char const* state_ = "ready";
     };
 
@@ -76,6 +76,8 @@
     std::string silence_target();
     std::string delay_target();
     std::string drain_target();
+    std::string depart_target();
+    std::string silence_store_connections();
     std::string change_configuration();
     std::string restore_store();
     std::string announce_leaving();
@@ -102,6 +104,12 @@
     void remove_lapsed_targets();
     void on_unwanted_request(platform_target const& target,
                              base::time_point since);
+    void on_departed_request(platform_target const& target);
+    /// The store, or a daemon's path to it, is disturbed until `until`.
+    void disturb_store_until(base::time_point until)
+    {
+        store_disturbed_until_ = std::max(store_disturbed_until_, until);
+    }
     void check_recovery();
     void check_versions();
     void stop_all();
@@ -127,6 +135,7 @@
     /// Newest configuration document.
     std::string document_;
     base::time_point began_{};
+    base::time_point store_disturbed_until_{};
     /// No further faults are injected.
     bool faults_lifted_ = false;
     /// Daemons that end are not started again.
