--- a/tests/entry/data_plane_test.cpp
+++ b/tests/entry/data_plane_test.cpp
@@ -534,6 +534,28 @@
     LONGS_EQUAL(1, pausing.requests().size());
 }
 
+TEST(data_plane, a_target_gets_no_more_than_the_limit_that_it_names)
+{
+    scripted_target limited{
+        [](std::string const& r) -> std::vector<step>
+        {
+            return {{action::send, with_field(complete_answer(r, 200, "ok"),
+                                              "Server-Limit: 0.2")}};
+        }};
+    entry_.configure();
+    entry_.set_targets({&limited});
+    std::string answer;
+    for (int i = 0; i < 12; ++i)
+    {
+        answer = send_and_read(entry_fixture::request("/plain/"), end_of_head);
+    }
+    CHECK(limited.requests().size() <= 4);
+    LONGS_EQUAL(503, status_of(answer));
+    // The next request may come in 5 s.
+    auto const retry_after = header_value(answer, "Retry-After");
+    CHECK(std::stod(retry_after) > 1.0);
+}
+
 TEST(data_plane, ignores_a_malformed_pause)
 {
     for (auto const* const value : {"-1", "soon", "1e9", ""})
