The daemons together keep the limit that a target names

Cause: Server-Limit was not read. The rule counts the requests of all daemons, so each for itself would not do.

Change: routing::target_limits divides a limit among as many daemons as it has requests a second, chosen by rendezvous hashing over those that work, so each may send one a second or more. A share is a bucket of one request and 0.1 s of its rate, which begins empty. Silent daemons keep their share until they are forgotten; one that does not know the fleet has none. So any 4 s hold at most 5.1 times the limit + 1, of the 6 times + 5 allowed, without a message; the rest is for the second in which daemons disagree on the fleet. What targets said goes into reports with its age, and the statement of the later request counts. A limit counts at least 0.1 a second, so that the target can say more; a malformed one is logged and changes nothing. The other targets take what a limit leaves; a share may be used while requests of higher tiers wait at daemons that cannot use it; a request that no share can serve in time is refused at once, with the time to the next turn.

Ruled out: an equal share for all daemons (75 of them hold 75 saved requests), one owner that grants each request (a message and its loss on every request).

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -229,6 +229,18 @@
             net::now());
         return net::head_action::skip;
     }
+    if (metadata.is_limit_malformed_)
+    {
+        delegate_.log().write(
+            log_category::bad_input,
+            log_line{"Malformed limit of a target ignored."}.with(
+                "target", target_.id_.str()),
+            net::now());
+    }
+    else if (!metadata.is_wrong_target_)
+    {
+        delegate_.on_limit(target_, metadata.limit_, attempt_sent_at_);
+    }
     answer_ = head;
     answer_metadata_ = metadata;
     is_streamed_ = is_stream() && head.status_ == 200 && metadata.is_signed_;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -35,6 +35,11 @@
     /// A target announced its shutdown or asked for a pause in an answer.
     virtual void on_announcement(routing::target_info const& target,
                                  answer_metadata const& metadata) = 0;
+    /// A target answered a request that was sent at `sent`, with a limit or
+    /// without one.
+    virtual void on_limit(routing::target_info const& target,
+                          std::optional<routing::request_rate> limit,
+                          base::time_point sent) = 0;
     /// The connection to `target` broke while the target held this request.
     virtual void on_broken(call& running, base::target_id const& target) = 0;
     virtual routing::pool_latency& latency(base::pool_id const& pool) = 0;
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -41,7 +41,9 @@
       random_{base::entropy()}, incarnation_{random_()}, peers_{loop, s,
                                                                 incarnation_,
                                                                 *this},
-      dispatcher_{{s.data_centre_, random_()}, peers_.board()},
+      dispatcher_{{s.data_centre_, random_(),
+                   parse_peer_ip(s.callers_.ip_).value_or(routing::peer_ip{})},
+                  peers_.board()},
       retry_budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
       quotas_{s.quota_slack_}, channels_{loop},
       daemon_directory_{settings_, protocol_, peers_.board()},
@@ -134,6 +136,28 @@
     is_fleet_listed_ = true;
     peers_.on_listed(ips);
     update_heard_part();
+    update_fleet();
+}
+
+void data_plane::on_heartbeat()
+{
+    update_heard_part();
+    update_fleet();
+}
+
+void data_plane::update_fleet()
+{
+    auto const now = net::now();
+    std::vector<routing::peer_ip> daemons;
+    if (is_fleet_listed_ || !peers_.board().heard(now).empty())
+    {
+        daemons = peers_.board().working();
+        if (!shutdown_.has_begun())
+        {
+            daemons.push_back(peers_.self());
+        }
+    }
+    dispatcher_.set_fleet(std::move(daemons), now);
 }
 
 void data_plane::on_registry_change(routing::registry_change change)
@@ -404,6 +428,26 @@
     }
 }
 
+void data_plane::on_limit(routing::target_info const& target,
+                          std::optional<routing::request_rate> limit,
+                          base::time_point sent)
+{
+    auto const now = net::now();
+    if (!dispatcher_.on_limit(target, limit, sent, now))
+    {
+        return;
+    }
+    log_line line{limit ? "Target named a limit."
+                        : "Target has no limit any more."};
+    line.with("target", target.id_.str());
+    if (limit)
+    {
+        line.with("per_second", std::to_string(limit->per_second_));
+    }
+    log_.write(log_category::target, line, now);
+    peers_.schedule_reports();
+}
+
 // A broken connection may mean no more than a lost answer. A connection probe
 // shows whether the target crashed.
 void data_plane::on_broken(call& running, base::target_id const& target)
@@ -551,7 +595,9 @@
     report.config_version_ =
         configuration_ ? static_cast<std::uint64_t>(configuration_->version())
                        : 0;
-    dispatcher_.report_usage(report, now);
+    auto& turn = statement_turns_.at(static_cast<std::size_t>(to));
+    dispatcher_.report_usage(report, now, turn);
+    turn += routing::peer_report::max_leaving;
     usage_schedules_.at(static_cast<std::size_t>(to))
         .add_to(report, quotas_, usage_time, now);
     crashes_.add_notices(report, now);
@@ -605,6 +651,10 @@
     {
         dispatcher_.on_leaving_reported(target, now);
     }
+    for (auto const& statement : report.limits_)
+    {
+        dispatcher_.on_limit_reported(statement, now);
+    }
     for (auto const& change : report.registry_changes_)
     {
         on_reported_registry_change(change);
@@ -660,6 +710,7 @@
          static_cast<double>(dispatcher_.announcements().leaving_count())},
         {"target_pauses_total",
          static_cast<double>(dispatcher_.announcements().pause_count())},
+        {"target_limits", static_cast<double>(dispatcher_.limits().count())},
         {"log_lines_left_out_total",
          static_cast<double>(log_.suppressed_count())},
     };
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -74,6 +74,9 @@
                          double units) override;
     void on_announcement(routing::target_info const& target,
                          answer_metadata const& metadata) override;
+    void on_limit(routing::target_info const& target,
+                  std::optional<routing::request_rate> limit,
+                  base::time_point sent) override;
     void on_broken(call& running, base::target_id const& target) override;
     routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
@@ -95,7 +98,7 @@
     void
     on_peer_report(routing::peer_ip from, routing::peer_report const& report,
                    routing::peer_table::report_delta const& delta) override;
-    void on_heartbeat() override { update_heard_part(); }
+    void on_heartbeat() override;
     bool has_calls() const override { return !calls_.empty(); }
     void on_role_changed(routing::daemon_role role) override;
 
@@ -120,6 +123,8 @@
     bool is_ready() const;
     routing::daemon_state own_state() const;
     void update_heard_part();
+    /// Tells the dispatcher which daemons share the limits of targets.
+    void update_fleet();
     void on_reported_registry_change(routing::registry_change change);
 
     net::asio::io_context& loop_;
@@ -154,6 +159,8 @@
     std::map<routing::id_digest, base::workspace_id> workspaces_;
     std::map<base::request_id, std::shared_ptr<call>> calls_;
     std::array<routing::usage_schedule, report_group_count> usage_schedules_{};
+    /// First statement of targets in the next report to each group.
+    std::array<std::size_t, report_group_count> statement_turns_{};
     base::time_point heard_checked_at_{};
     routing::follower_position position_;
     routing::registry_change registry_change_;
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -52,6 +52,7 @@
         report.serialize_leaving(archive);
         report.serialize_role(archive);
         report.serialize_registry_change(archive);
+        report.serialize_limits(archive);
     }
     return std::move(out).str();
 }
@@ -86,6 +87,10 @@
         {
             report.serialize_registry_change(archive);
         }
+        if (has_more(in))
+        {
+            report.serialize_limits(archive);
+        }
         return true;
     }
     catch (cereal::Exception const&)
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -80,6 +80,7 @@
     /// Updates the addresses of all daemons registered in the store.
     void on_listed(std::vector<std::string> const& ips);
 
+    routing::peer_ip self() const { return self_; }
     /// Place of this daemon among those that it hears.
     routing::follower_position position(base::time_point now) const
     {
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -3,6 +3,7 @@
 #include "src/base/error.hpp"
 #include "src/net/http_message.hpp"
 #include "src/routing/configuration.hpp"
+#include "src/routing/limit_statement.hpp"
 #include "src/routing/target_info.hpp"
 
 #include <optional>
@@ -59,6 +60,10 @@
     /// The target refused the request and wants no more from this daemon for
     /// this long.
     std::optional<base::duration> pause_;
+    /// Requests that the target takes from all daemons together.
+    std::optional<routing::request_rate> limit_;
+    /// It names a limit that cannot be read.
+    bool is_limit_malformed_ = false;
 };
 
 /// A caller's request for the addresses of daemons.
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -38,14 +38,15 @@
 } // namespace
 
 dispatcher::dispatcher(settings s, peer_table const& peers)
-    : settings_{std::move(s)}, peers_{peers}, random_{settings_.seed_}
+    : settings_{std::move(s)}, peers_{peers}, random_{settings_.seed_},
+      limits_{settings_.self_}
 {
 }
 
 dispatcher::pool_record& dispatcher::pool(base::pool_id const& id)
 {
     auto const [entry, is_new] = pools_.try_emplace(
-        id, target_selector{peers_, settings_.data_centre_, random_});
+        id, target_selector{peers_, limits_, settings_.data_centre_, random_});
     if (is_new)
     {
         entry->second.digest_ = digest_of(id.str());
@@ -150,6 +151,19 @@
     return is_new;
 }
 
+bool dispatcher::on_limit(target_info const& target,
+                          std::optional<request_rate> limit,
+                          base::time_point sent, base::time_point now)
+{
+    return limits_.on_answer(digest_of(target), limit, sent, now);
+}
+
+void dispatcher::on_limit_reported(limit_statement const& statement,
+                                   base::time_point now)
+{
+    limits_.on_reported(statement, now);
+}
+
 void dispatcher::set_pools(std::vector<pool_limits> const& pools)
 {
     for (auto& [id, p] : pools_)
@@ -171,7 +185,7 @@
 base::duration dispatcher::expected_wait(pool_record const& p, double ahead,
                                          base::time_point now) const
 {
-    auto const all = p.targets_.slot_count(now);
+    auto const all = p.targets_.slot_count(p.mean_slot_seconds_, now);
     return all == 0 ? base::duration{}
                     : base::from_seconds(ahead * p.mean_slot_seconds_ / all);
 }
@@ -209,7 +223,8 @@
     auto& p = pool(id);
     auto const rate = p.mean_slot_seconds_ == 0
                           ? 0.0
-                          : p.targets_.slot_count(now) / p.mean_slot_seconds_;
+                          : p.targets_.slot_count(p.mean_slot_seconds_, now) /
+                                p.mean_slot_seconds_;
     auto const passed = base::seconds(now - p.pending_retries_at_);
     p.pending_retries_ = std::max(0.0, p.pending_retries_ - passed * rate);
     p.pending_retries_at_ = now;
@@ -224,10 +239,24 @@
     auto const wait =
         std::max(base::seconds(min_retry_after), queued + pending) *
         (0.9 + 0.2 * random_.uniform());
-    return p.targets_.pause_left(now) +
+    return time_to_turn(p, now) +
            std::min(base::from_seconds(wait), max_retry_after);
 }
 
+// A daemon without a share sends the caller away for the time in which the
+// targets take one request; by then the caller may ask another daemon.
+base::duration dispatcher::time_to_turn(pool_record const& p,
+                                        base::time_point now)
+{
+    if (auto const turn = p.targets_.first_turn(now))
+    {
+        return *turn;
+    }
+    auto const total = p.targets_.total_limit();
+    return total ? base::from_seconds(1.0 / total->per_second_)
+                 : base::duration{};
+}
+
 base::duration dispatcher::max_wait(pending_call const& call,
                                     base::time_point now) const
 {
@@ -256,7 +285,7 @@
     auto const wait_limit = max_wait(item, now);
     auto const expected =
         std::max(expected_wait(p, item.work_.workspace_, tier, now),
-                 p.targets_.pause_left(now));
+                 p.targets_.first_turn(now).value_or(base::duration::max()));
     if (!item.answer_started_ && expected > wait_limit)
     {
         refused_.push_back(
@@ -311,7 +340,8 @@
     {
         return nullptr;
     }
-    auto const* const target = p.targets_.choose(call, now);
+    auto const* const target =
+        p.targets_.choose(call, target_selector::scope::all, now);
     return target == nullptr ? nullptr : &target->info_;
 }
 
@@ -321,6 +351,7 @@
     auto& p = pool(call.work_.pool_);
     auto const tokens = tokens_of(call);
     p.targets_.on_assigned(tokens);
+    limits_.on_sent(target.incarnation_, now);
     ++target.own_requests_;
     target.own_tokens_ += tokens;
     in_flight_.emplace(
@@ -352,7 +383,7 @@
     out.push_back(sched::refusal{request,
                                  {},
                                  sched::refusal_cause::no_target,
-                                 p.targets_.pause_left(now) + min_retry_after});
+                                 time_to_turn(p, now) + min_retry_after});
 }
 
 void dispatcher::expire(base::time_point now, std::vector<sched::action>& out)
@@ -394,10 +425,25 @@
     return on_time->item_.tier_ <= late->item_.tier_ ? on_time : late;
 }
 
-bool dispatcher::yields_to_peers(pool_record const& p, base::tier tier,
-                                 int free) const
+// Free slots are left to requests of higher tiers that wait at other daemons.
+// The share of a limit is no use to them.
+std::optional<target_selector::scope>
+dispatcher::usable_targets(pool_record const& p, pending_call const& call,
+                           base::time_point now) const
 {
-    return peers_.waiting_above(p.digest_, tier) >= free;
+    using scope = target_selector::scope;
+    auto const free = p.targets_.free_slots(call, scope::all, now);
+    if (free <= 0)
+    {
+        return std::nullopt;
+    }
+    auto const own =
+        limits_.empty() ? 0 : p.targets_.free_slots(call, scope::limited, now);
+    if (peers_.waiting_above(p.digest_, call.work_.tier_) < free - own)
+    {
+        return scope::all;
+    }
+    return own > 0 ? std::optional{scope::limited} : std::nullopt;
 }
 
 void dispatcher::dispatch_waiting(pool_record& p, base::time_point now,
@@ -405,13 +451,13 @@
 {
     while (auto* const next = front(p))
     {
-        auto const free = p.targets_.free_slots(next->call_, now);
-        if (free <= 0 || yields_to_peers(p, next->item_.tier_, free))
+        auto const usable = usable_targets(p, next->call_, now);
+        if (!usable)
         {
             return;
         }
         auto const request = next->item_.request_;
-        auto* const target = p.targets_.choose(next->call_, now);
+        auto* const target = p.targets_.choose(next->call_, *usable, now);
         if (target == nullptr && p.targets_.lacks_kv_capacity(next->call_, now))
         {
             return;
@@ -474,6 +520,7 @@
         assert(t.own_requests_ >= 0);
         if (end == attempt_outcome::not_connected)
         {
+            limits_.on_not_sent(t.incarnation_, now);
             t.health_.on_lost(run.dispatched_, now);
         }
         else if (end == attempt_outcome::displaced)
@@ -525,10 +572,12 @@
     }
 }
 
-void dispatcher::report_usage(peer_report& out, base::time_point now) const
+void dispatcher::report_usage(peer_report& out, base::time_point now,
+                              std::size_t first) const
 {
     out.leaving_targets_ =
         announcements_.reported(now, peer_report::max_leaving);
+    out.limits_ = limits_.reported(now, first, peer_report::max_limits);
     for (auto const& [id, t] : targets_)
     {
         if (t.own_requests_ > 0 &&
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -31,6 +31,7 @@
     {
         base::data_centre_id data_centre_;
         std::uint64_t seed_ = 0;
+        peer_ip self_{};
     };
 
     /// `peers` must outlive the dispatcher.
@@ -71,6 +72,19 @@
     bool on_pause(target_info const& target, base::duration pause,
                   base::time_point now);
     target_announcements const& announcements() const { return announcements_; }
+    /// The target named a limit, or none any more, in its answer to a request
+    /// that was sent at `sent`. True if that changes its limit.
+    bool on_limit(target_info const& target, std::optional<request_rate> limit,
+                  base::time_point sent, base::time_point now);
+    /// Another daemon reports what a target said about its limit.
+    void on_limit_reported(limit_statement const& statement,
+                           base::time_point now);
+    /// The daemons that share the limits of targets; see target_limits.
+    void set_fleet(std::vector<peer_ip> daemons, base::time_point now)
+    {
+        limits_.set_fleet(std::move(daemons), now);
+    }
+    target_limits const& limits() const { return limits_; }
 
     /// Appends the grants and refusals that are due.
     void advance(base::time_point now, std::vector<sched::action>& out);
@@ -78,8 +92,10 @@
 
     target_info const* find(base::target_id const& id) const;
     /// Adds the number of own requests at each target, of waiting requests by
-    /// pool and tier, and the targets that announced their shutdown.
-    void report_usage(peer_report& out, base::time_point now) const;
+    /// pool and tier, and what targets said about themselves, from the `first`
+    /// statement on if a report cannot hold all of them.
+    void report_usage(peer_report& out, base::time_point now,
+                      std::size_t first = 0) const;
     std::size_t waiting() const { return waiting_.size(); }
     std::size_t in_flight() const { return in_flight_.size(); }
     /// Delay after which a refused request of this pool and tier should be
@@ -131,7 +147,15 @@
     static waiting_call* front(pool_record& p);
     void dispatch_waiting(pool_record& p, base::time_point now,
                           std::vector<sched::action>& out);
-    bool yields_to_peers(pool_record const& p, base::tier tier, int free) const;
+    /// The targets that the best waiting request of the pool may use; nothing
+    /// if it must wait.
+    std::optional<target_selector::scope>
+    usable_targets(pool_record const& p, pending_call const& call,
+                   base::time_point now) const;
+    /// Time until this daemon may use a target of the pool, for callers that
+    /// are refused.
+    static base::duration time_to_turn(pool_record const& p,
+                                       base::time_point now);
     /// Expected wait of one more request of that workspace and tier.
     base::duration expected_wait(pool_record const& p,
                                  base::workspace_id const& workspace,
@@ -158,6 +182,7 @@
     base::random_source random_;
     std::map<base::target_id, dispatch_target> targets_;
     target_announcements announcements_;
+    target_limits limits_;
     std::map<base::pool_id, pool_record> pools_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_call>>
         waiting_;
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/ids.hpp"
 #include "src/base/serialization.hpp"
+#include "src/routing/limit_statement.hpp"
 #include "src/routing/store_revision.hpp"
 #include "src/routing/target_info.hpp"
 
@@ -107,6 +108,7 @@
     static constexpr std::size_t max_addresses = 16;
     static constexpr std::size_t max_leaving = 16;
     static constexpr std::size_t max_registry_changes = 1;
+    static constexpr std::size_t max_limits = 16;
 
     /// Random number for each start of the sender.
     std::uint64_t incarnation_ = 0;
@@ -129,6 +131,8 @@
     /// At most one, and only while it is so recent that the recipient may not
     /// have it.
     std::vector<registry_change> registry_changes_;
+    /// What targets said about their limits.
+    std::vector<limit_statement> limits_;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -162,6 +166,12 @@
     {
         base::serialize_list(archive, registry_changes_, max_registry_changes);
     }
+
+    template <class Archive>
+    void serialize_limits(Archive& archive)
+    {
+        base::serialize_list(archive, limits_, max_limits);
+    }
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -267,6 +267,20 @@
     return static_cast<double>(heard) / static_cast<double>(all);
 }
 
+std::vector<peer_ip> peer_table::working() const
+{
+    std::vector<peer_ip> out;
+    for (auto const& [ip, p] : peers_)
+    {
+        if (p.reported_ && p.is_working() &&
+            p.last_.state_ == daemon_state::ready)
+        {
+            out.push_back(ip);
+        }
+    }
+    return out;
+}
+
 follower_position peer_table::position_of(peer_ip self,
                                           base::time_point now) const
 {
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -80,6 +80,8 @@
     /// Number of heard daemons divided by that of known ones, both including
     /// this one. Daemons that stand by do not count: they spend nothing.
     double heard_fraction(base::time_point now) const;
+    /// Daemons that have reported and work, also those that are silent now.
+    std::vector<peer_ip> working() const;
     /// Place of the daemon `self` among itself and the heard ones.
     follower_position position_of(peer_ip self, base::time_point now) const;
     /// The heard daemon with the highest configuration version above `than`.
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -57,50 +57,96 @@
     mean_tokens_ += tokens_gain * (static_cast<double>(tokens) - mean_tokens_);
 }
 
-int target_selector::slot_count(base::time_point now) const
+double target_selector::slot_count(double slot_seconds,
+                                   base::time_point now) const
 {
-    int sum = 0;
+    double sum = 0;
     for (auto const* t : targets_)
     {
-        sum += t->takes_work() && !t->is_paused(now) ? t->info_.slots_ : 0;
+        if (!t->takes_work() || t->is_paused(now))
+        {
+            continue;
+        }
+        auto const slots = static_cast<double>(t->info_.slots_);
+        auto const* const limit = limit_of(*t);
+        sum += limit == nullptr || slot_seconds == 0
+                   ? slots
+                   : std::min(slots, limit->rate().per_second_ * slot_seconds);
     }
     return sum;
 }
 
-base::duration target_selector::pause_left(base::time_point now) const
+std::optional<base::duration>
+target_selector::first_turn(base::time_point now) const
+{
+    std::optional<base::duration> earliest;
+    bool takes_work = false;
+    for (auto const* t : targets_)
+    {
+        if (!t->takes_work())
+        {
+            continue;
+        }
+        takes_work = true;
+        auto const pause =
+            t->is_paused(now) ? t->paused_until_ - now : base::duration{};
+        auto const* const limit = limit_of(*t);
+        auto const turn =
+            limit == nullptr ? std::optional{pause} : limit->wait(now);
+        if (turn)
+        {
+            auto const wait = std::max(*turn, pause);
+            earliest = std::min(earliest.value_or(wait), wait);
+        }
+    }
+    return takes_work ? earliest : std::optional{base::duration{}};
+}
+
+std::optional<request_rate> target_selector::total_limit() const
 {
-    auto earliest = base::time_point::max();
+    std::optional<request_rate> sum;
     for (auto const* t : targets_)
     {
-        if (t->takes_work())
+        if (!t->takes_work())
         {
-            earliest = std::min(earliest, std::max(now, t->paused_until_));
+            continue;
         }
+        auto const* const limit = limit_of(*t);
+        if (limit == nullptr)
+        {
+            return std::nullopt;
+        }
+        sum = request_rate{sum.value_or(request_rate{}).per_second_ +
+                           limit->rate().per_second_};
     }
-    return earliest == base::time_point::max() ? base::duration{}
-                                               : earliest - now;
+    return sum;
 }
 
 int target_selector::free_slots(dispatch_target const& t, int peer_requests,
-                                int extra, base::time_point now)
+                                int extra, base::time_point now) const
 {
     if (!t.takes_work() || t.is_paused(now))
     {
         return 0;
     }
     auto const used = t.own_requests_ + peer_requests;
-    auto const limit = t.health_.max_outstanding(t.info_.slots_ + extra, now);
-    return std::max(0, limit - used);
+    auto const most = t.health_.max_outstanding(t.info_.slots_ + extra, now);
+    auto const free = std::max(0, most - used);
+    auto const* const limit = limit_of(t);
+    return limit == nullptr ? free : std::min(free, limit->available(now));
 }
 
-int target_selector::free_slots(pending_call const& call,
+int target_selector::free_slots(pending_call const& call, scope where,
                                 base::time_point now) const
 {
     auto const extra = extra_slots(call);
     int sum = 0;
     for (auto const* t : targets_)
     {
-        sum += free_slots(*t, peer_requests_at(*t), extra, now);
+        if (where == scope::all || limit_of(*t) != nullptr)
+        {
+            sum += free_slots(*t, peer_requests_at(*t), extra, now);
+        }
     }
     return sum;
 }
@@ -176,7 +222,7 @@
                        { return t->takes_work() && !was_tried(call, *t); });
 }
 
-dispatch_target* target_selector::choose(pending_call const& call,
+dispatch_target* target_selector::choose(pending_call const& call, scope where,
                                          base::time_point now)
 {
     auto const mean = mean_service_time();
@@ -187,6 +233,7 @@
     {
         auto const peer_requests = peer_requests_at(*t);
         if (was_tried(call, *t) ||
+            (where == scope::limited && limit_of(*t) == nullptr) ||
             free_slots(*t, peer_requests, extra_slots(call), now) <= 0 ||
             !has_kv_capacity(*t, peer_requests, call))
         {
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -5,6 +5,7 @@
 #include "src/routing/pending_call.hpp"
 #include "src/routing/service_time_estimate.hpp"
 #include "src/routing/target_info.hpp"
+#include "src/routing/target_limits.hpp"
 #include "src/sched/target_health.hpp"
 
 namespace tanagerlead::routing
@@ -49,12 +50,12 @@
 class target_selector
 {
 public:
-    /// `peers`, `local_data_centre` and `random` must outlive the selector.
-    target_selector(peer_table const& peers,
+    /// The arguments must outlive the selector.
+    target_selector(peer_table const& peers, target_limits const& limits,
                     base::data_centre_id const& local_data_centre,
                     base::random_source& random)
-        : peers_{&peers}, local_data_centre_{&local_data_centre}, random_{
-                                                                      &random}
+        : peers_{&peers}, limits_{&limits},
+          local_data_centre_{&local_data_centre}, random_{&random}
     {
     }
 
@@ -69,16 +70,31 @@
     /// A request of this many tokens was assigned.
     void on_assigned(base::token_count tokens);
 
-    /// Slots of all targets that take work now.
-    int slot_count(base::time_point now) const;
-    /// Time until a target takes work again if all of them asked for a pause;
-    /// otherwise zero.
-    base::duration pause_left(base::time_point now) const;
+    /// Slots of all targets that take work now. A target with a limit counts
+    /// with those that it fills when a request takes `slot_seconds`.
+    double slot_count(double slot_seconds, base::time_point now) const;
+    /// Time until a target takes a request of this daemon if all of them pause
+    /// or have limits; otherwise zero. Nothing if this daemon has no share of
+    /// any limit.
+    std::optional<base::duration> first_turn(base::time_point now) const;
+    /// Requests a second that the targets take together, if all of those that
+    /// take work have limits.
+    std::optional<request_rate> total_limit() const;
+
+    /// Which targets may be chosen.
+    enum class scope : std::uint8_t
+    {
+        all,
+        /// Those with limits, of which each daemon has its own share.
+        limited,
+    };
     /// Slots that are free for this request.
-    int free_slots(pending_call const& call, base::time_point now) const;
+    int free_slots(pending_call const& call, scope where,
+                   base::time_point now) const;
     /// The target with the lowest cost; null when none has a slot for the
     /// request.
-    dispatch_target* choose(pending_call const& call, base::time_point now);
+    dispatch_target* choose(pending_call const& call, scope where,
+                            base::time_point now);
     /// Whether any target may run the request, now or later.
     bool has_target(pending_call const& call) const;
     /// Whether the request waits for memory at a target that has a free slot.
@@ -93,8 +109,12 @@
     }
     /// Slots left for a request that may use `extra` slots beyond the target's
     /// own.
-    static int free_slots(dispatch_target const& t, int peer_requests,
-                          int extra, base::time_point now);
+    int free_slots(dispatch_target const& t, int peer_requests, int extra,
+                   base::time_point now) const;
+    target_limit const* limit_of(dispatch_target const& t) const
+    {
+        return limits_->find(t.incarnation_);
+    }
     double mean_service_time() const;
     double cost(dispatch_target const& t, int peer_requests,
                 pending_call const& call, double mean) const;
@@ -103,6 +123,7 @@
     dispatch_target const* affinity_target(std::uint64_t affinity) const;
 
     peer_table const* peers_;
+    target_limits const* limits_;
     base::data_centre_id const* local_data_centre_;
     base::random_source* random_;
     std::vector<dispatch_target*> targets_;
--- a/tests/entry/data_plane_test.cpp
+++ b/tests/entry/data_plane_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
+
 using namespace tanagerlead;
 using namespace tanagerlead::test;
 
@@ -556,6 +558,46 @@
     CHECK(std::stod(retry_after) > 1.0);
 }
 
+TEST(data_plane, a_malformed_limit_does_not_lift_the_one_before)
+{
+    std::atomic<int> answered{0};
+    scripted_target limited{
+        [&answered](std::string const& r) -> std::vector<step>
+        {
+            auto const* const field =
+                answered++ == 0 ? "Server-Limit: 0.2" : "Server-Limit: much";
+            return {{action::send,
+                     with_field(complete_answer(r, 200, "ok"), field)}};
+        }};
+    entry_.configure();
+    entry_.set_targets({&limited});
+    for (int i = 0; i < 12; ++i)
+    {
+        send_and_read(entry_fixture::request("/plain/"), end_of_head);
+    }
+    CHECK(limited.requests().size() <= 4);
+}
+
+TEST(data_plane, a_target_without_a_limit_any_more_gets_all_requests)
+{
+    std::atomic<int> answered{0};
+    scripted_target target{
+        [&answered](std::string const& r) -> std::vector<step>
+        {
+            auto answer = complete_answer(r, 200, "ok");
+            return {{action::send, answered++ == 0
+                                       ? with_field(answer, "Server-Limit: 20")
+                                       : answer}};
+        }};
+    entry_.configure();
+    entry_.set_targets({&target});
+    for (int i = 0; i < 12; ++i)
+    {
+        LONGS_EQUAL(200, status_of(send_and_read(
+                             entry_fixture::request("/plain/"), end_of_head)));
+    }
+}
+
 TEST(data_plane, ignores_a_malformed_pause)
 {
     for (auto const* const value : {"-1", "soon", "1e9", ""})
--- a/tests/platform/wire_protocol_test.cpp
+++ b/tests/platform/wire_protocol_test.cpp
@@ -193,6 +193,44 @@
     }
 }
 
+TEST(wire_protocol, reads_the_limit_of_a_target)
+{
+    struct input
+    {
+        char const* value_;
+        std::optional<double> limit_;
+        bool is_malformed_;
+    };
+    input const inputs[] = {
+        {"5.5", 5.5, false},
+        {"6", 6.0, false},
+        {"0", 0.0, false},
+        {"0.25", 0.25, false},
+        {"", std::nullopt, true},
+        {"-1", std::nullopt, true},
+        {"5,5", std::nullopt, true},
+        {"nan", std::nullopt, true},
+        {"inf", std::nullopt, true},
+        {"5 a second", std::nullopt, true},
+        {"1e999", std::nullopt, true},
+    };
+    for (auto const& in : inputs)
+    {
+        net::http_response head;
+        head.status_ = 200;
+        head.headers_.add("Server-Limit", in.value_);
+        auto const read = protocol_.read_answer_metadata(head);
+        CHECK_TEXT(read.limit_.has_value() == in.limit_.has_value(), in.value_);
+        CHECK_TEXT(read.is_limit_malformed_ == in.is_malformed_, in.value_);
+        if (in.limit_)
+        {
+            DOUBLES_EQUAL(*in.limit_, read.limit_->per_second_, 1e-9);
+        }
+    }
+    auto const without = protocol_.read_answer_metadata({});
+    CHECK(!without.limit_ && !without.is_limit_malformed_);
+}
+
 TEST(wire_protocol, answers_resolve_requests)
 {
     auto const q = protocol_.read_directory_query(
