Reports name all targets that leave, in turn

Cause, found by reading for DRAIN and many targets that speak at once: a report names up to 16 targets that announced their shutdown, in the order of a hash table. When more leave at once, the same ones may be left out of every report for the three seconds in which they are named, and other daemons learn of them from the registry only.

Test: no_shutdown_is_left_out_when_many_targets_leave. Before, reported() had no turn to take: each report of the test would have held the same 16 of 40.

--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -576,7 +576,7 @@
                               std::size_t first) const
 {
     out.leaving_targets_ =
-        announcements_.reported(now, peer_report::max_leaving);
+        announcements_.reported(now, peer_report::max_leaving, first);
     out.limits_ = limits_.reported(now, first, peer_report::max_limits);
     for (auto const& [id, t] : targets_)
     {
--- a/src/routing/target_announcements.cpp
+++ b/src/routing/target_announcements.cpp
@@ -1,5 +1,7 @@
 #include "src/routing/target_announcements.hpp"
 
+#include "src/routing/report_turn.hpp"
+
 #include <algorithm>
 
 namespace tanagerlead::routing
@@ -52,18 +54,19 @@
 }
 
 std::vector<incarnation_digest>
-target_announcements::reported(base::time_point now, std::size_t limit) const
+target_announcements::reported(base::time_point now, std::size_t limit,
+                               std::size_t first) const
 {
-    std::vector<incarnation_digest> out;
+    std::vector<incarnation_digest> recent;
     for (auto const& [target, entry] : leaving_)
     {
-        if (entry.is_own_ && now - entry.announced_at_ <= report_time &&
-            out.size() < limit)
+        if (entry.is_own_ && now - entry.announced_at_ <= report_time)
         {
-            out.push_back(target);
+            recent.push_back(target);
         }
     }
-    return out;
+    std::sort(recent.begin(), recent.end());
+    return take_turn(recent, first, limit);
 }
 
 void target_announcements::expire(base::time_point now)
--- a/src/routing/target_announcements.hpp
+++ b/src/routing/target_announcements.hpp
@@ -42,9 +42,11 @@
     /// `time_point::min()` for a target that never asked for a pause.
     base::time_point paused_until(incarnation_digest target) const;
     /// Shutdowns that this daemon learned from the targets themselves within
-    /// `report_time`, at most `limit`.
+    /// `report_time`, at most `limit`, from the `first` one on in a fixed
+    /// order.
     std::vector<incarnation_digest> reported(base::time_point now,
-                                             std::size_t limit) const;
+                                             std::size_t limit,
+                                             std::size_t first = 0) const;
     /// Forgets statements that no longer matter.
     void expire(base::time_point now);
 
--- a/tests/routing/target_announcements_test.cpp
+++ b/tests/routing/target_announcements_test.cpp
@@ -48,6 +48,23 @@
     CHECK(table_.reported(at(9s), 9).empty());
 }
 
+TEST(target_announcements, no_shutdown_is_left_out_when_many_targets_leave)
+{
+    std::set<incarnation_digest> told;
+    for (std::uint64_t i = 0; i < 40; ++i)
+    {
+        table_.on_leaving(incarnation_digest{i}, at(0s));
+    }
+    for (std::size_t first = 0; first < 48; first += 16)
+    {
+        for (auto const target : table_.reported(at(1s), 16, first))
+        {
+            told.insert(target);
+        }
+    }
+    LONGS_EQUAL(40, told.size());
+}
+
 TEST(target_announcements, a_shorter_pause_does_not_end_a_longer_one)
 {
     CHECK(table_.on_pause(one, 3s, at(0s)));
