Known red: interim answers without end are read until the caller's time limit

The caller must be answered with 502, the connection closed, and what is read bounded. On this code it stops at interim answers (1xx), which are skipped for as long as they come: 504 after 4 s.

--- a/tests/entry/scripted_target.cpp
+++ b/tests/entry/scripted_target.cpp
@@ -54,6 +54,12 @@
     return requests_;
 }
 
+std::size_t scripted_target::endless_bytes() const
+{
+    std::lock_guard const lock{mutex_};
+    return endless_bytes_;
+}
+
 bool scripted_target::has_peer_closed() const
 {
     std::lock_guard const lock{mutex_};
@@ -130,6 +136,24 @@
     }
 }
 
+void scripted_target::send_without_end(int socket, std::string const& bytes)
+{
+    std::size_t sent = 0;
+    while (true)
+    {
+        auto const got =
+            ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (got <= 0)
+        {
+            break;
+        }
+        sent += static_cast<std::size_t>(got);
+    }
+    std::lock_guard const lock{mutex_};
+    endless_bytes_ += sent;
+    has_peer_closed_ = !is_stopping_;
+}
+
 bool scripted_target::run_steps(int socket,
                                 std::vector<answer_step> const& steps)
 {
@@ -142,6 +166,9 @@
             ::send(socket, step.bytes_.data(), step.bytes_.size(),
                    MSG_NOSIGNAL);
             break;
+        case answer_step::action::send_without_end:
+            send_without_end(socket, step.bytes_);
+            return false;
         case answer_step::action::close:
             return false;
         case answer_step::action::reset:
--- a/tests/entry/scripted_target.hpp
+++ b/tests/entry/scripted_target.hpp
@@ -17,6 +17,9 @@
     enum class action
     {
         send,
+        /// Sends the bytes again and again until the peer closes the
+        /// connection.
+        send_without_end,
         /// Closes the connection normally.
         close,
         /// Resets the connection.
@@ -47,12 +50,15 @@
     std::vector<std::string> requests() const;
     /// Whether the peer closed the connection during a `wait_for_peer` step.
     bool has_peer_closed() const;
+    /// Bytes that were sent in steps without an end.
+    std::size_t endless_bytes() const;
 
 private:
     void accept_loop();
     void serve(int socket);
     static bool read_request(int socket, std::string& pending,
                              std::string& request);
+    void send_without_end(int socket, std::string const& bytes);
     bool run_steps(int socket, std::vector<answer_step> const& steps);
 
     script script_;
@@ -63,6 +69,7 @@
     int connection_ = -1;
     bool is_stopping_ = false;
     bool has_peer_closed_ = false;
+    std::size_t endless_bytes_ = 0;
     std::thread thread_;
 };
 
