Answers without end are cut off, and their callers answered at once

Change: a channel passes over at most 1 MB before the answer and keeps at most 72 KB that the parser cannot read yet. Beyond that the exchange fails: channel closed, log line 'Attempt failed. reason=...', 502, or a retry where the route allows one. All calls hold at most 32 MB of whole answers together.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -178,7 +178,7 @@
     }
     attempt_event_count_ = 0;
     event_splitter_ = {};
-    answer_ = {};
+    drop_answer_body();
     is_streamed_ = false;
     forward_metadata metadata;
     metadata.target_ = target_.id_;
@@ -241,6 +241,7 @@
     {
         delegate_.on_limit(target_, metadata.limit_, attempt_sent_at_);
     }
+    drop_answer_body();
     answer_ = head;
     answer_metadata_ = metadata;
     is_streamed_ = is_stream() && head.status_ == 200 && metadata.is_signed_;
@@ -265,12 +266,20 @@
         }
         return;
     }
-    answer_.body_.append(bytes);
-    if (answer_.body_.size() > max_answer_bytes)
+    if (answer_.body_.size() + bytes.size() > max_answer_bytes ||
+        !delegate_.answer_budget().take(bytes.size()))
     {
         channel_->close();
         on_broken("answer too large");
+        return;
     }
+    answer_.body_.append(bytes);
+}
+
+void call::drop_answer_body()
+{
+    delegate_.answer_budget().give_back(answer_.body_.size());
+    answer_ = {};
 }
 
 void call::forward_events()
@@ -602,6 +611,7 @@
         return;
     }
     state_ = state::finished;
+    drop_answer_body();
     deadline_timer_.clear();
     stall_timer_.clear();
     caller_->on_disconnect(nullptr);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/entry/byte_budget.hpp"
 #include "src/entry/call_outcome.hpp"
 #include "src/entry/protocol.hpp"
 #include "src/entry/rate_limited_log.hpp"
@@ -57,6 +58,8 @@
     virtual void on_call_finished(call& finished, call_outcome outcome,
                                   std::string const& cause) = 0;
 
+    /// Limits what all calls hold of answers that are not streamed.
+    virtual byte_budget& answer_budget() = 0;
     virtual protocol const& get_protocol() const = 0;
     virtual rate_limited_log& log() = 0;
     virtual net::asio::io_context& loop() = 0;
@@ -128,6 +131,7 @@
     void send();
     void forward_events();
     void send_to_caller(std::string_view bytes);
+    void drop_answer_body();
     void on_caller_disconnected();
     void on_deadline();
     void on_stall_timeout();
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -89,6 +89,7 @@
                          std::shared_ptr<net::channel> const& channel) override;
     void on_call_finished(call& finished, call_outcome outcome,
                           std::string const& cause) override;
+    byte_budget& answer_budget() override { return answer_budget_; }
     protocol const& get_protocol() const override { return protocol_; }
     rate_limited_log& log() override { return log_; }
     net::asio::io_context& loop() override { return loop_; }
@@ -154,6 +155,8 @@
     net::http_listener directory_;
     net::http_listener metrics_listener_;
 
+    /// Hosts have 88 MB or more.
+    byte_budget answer_budget_{32U << 20U};
     routing::configuration_ptr configuration_;
     base::time_point configured_at_{};
     std::map<routing::id_digest, base::workspace_id> workspaces_;
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -17,6 +17,12 @@
 
 constexpr std::size_t read_bytes = 8192;
 constexpr std::uint32_t max_head_bytes = 65536;
+/// The parser keeps a part that it cannot read before its end, such as a line
+/// before a chunk.
+constexpr std::size_t max_unparsed_bytes = max_head_bytes + read_bytes;
+/// Interim answers and late answers to earlier requests that are passed over in
+/// one exchange.
+constexpr std::size_t max_skipped_bytes = 1 << 20;
 /// The connection fails when sent data stay unacknowledged for this long.
 constexpr base::duration peer_send_timeout = 2s;
 /// A connection is no longer reused this long before the peer would close it,
@@ -123,6 +129,7 @@
     is_head_request_ = request.method_ == "HEAD";
     out_ = to_text(request);
     paused_ = false;
+    skipped_bytes_ = 0;
     reset_parser();
     send();
     read_more();
@@ -235,6 +242,11 @@
             fail_exchange("malformed answer: " + error.message());
             return;
         }
+        if (auto const* const excess = find_excess())
+        {
+            fail_exchange(excess);
+            return;
+        }
         if (parser_->is_done())
         {
             if (!skipping_)
@@ -251,6 +263,16 @@
     }
 }
 
+char const* channel::find_excess() const
+{
+    if (skipped_bytes_ > max_skipped_bytes)
+    {
+        return "too many bytes of other answers";
+    }
+    return unparsed_.size() > max_unparsed_bytes ? "part of an answer too long"
+                                                 : nullptr;
+}
+
 // Parses part of the buffered input. Returns whether parsing can continue
 // without reading more input.
 bool channel::parse_some(error_code& error)
@@ -274,6 +296,10 @@
     {
         return false;
     }
+    if (!head_handled_ || skipping_)
+    {
+        skipped_bytes_ += used;
+    }
     auto const got = body_buffer_.size() - parser_->get().body().size;
     if (head_handled_ && !skipping_ && got > 0)
     {
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -84,6 +84,8 @@
     void read_more();
     void on_read(error_code const& error, std::size_t count);
     void reset_parser();
+    /// Why the input cannot become an answer; null if it can.
+    char const* find_excess() const;
     void parse();
     bool parse_some(error_code& error);
     bool handle_head();
@@ -107,6 +109,9 @@
     bool reading_ = false;
     bool head_handled_ = false;
     bool skipping_ = false;
+    /// Bytes before the body of the answer in this exchange, with interim and
+    /// foreign answers.
+    std::size_t skipped_bytes_ = 0;
     bool paused_ = false;
     bool closed_ = false;
     bool keep_alive_ = false;
--- a/tests/entry/endless_answer_test.cpp
+++ b/tests/entry/endless_answer_test.cpp
@@ -113,4 +113,6 @@
         }
         CHECK_TEXT(target.endless_bytes() < max_endless_bytes, in.name_);
     }
+    entry_.on_loop([this]
+                   { LONGS_EQUAL(0, entry_.daemon().answer_budget().used()); });
 }
