An endless line before a chunk of a request is rejected

The same class as answers without end, on the callers' side: a line before a chunk was kept until its end, within the time limit of the body, which at the speed of a link is more than the memory of a host.

Change: such a part may be as long as a head; then the request is rejected with 431 and the connection closed.

Test: an_endless_line_before_a_chunk_of_a_request_is_rejected. Before, the connection was closed without an answer after 3 s, the time limit.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -155,6 +155,14 @@
             break;
         }
     }
+    // The parser keeps a part that it cannot read before its end, such as a
+    // line before a chunk.
+    if (!parser_->is_done() &&
+        unparsed_.size() > limits_.head_bytes_ + body_read_bytes)
+    {
+        reject(status_for(http::error::header_limit));
+        return;
+    }
     if (parser_->is_done())
     {
         dispatch_request();
--- a/tests/entry/endless_answer_test.cpp
+++ b/tests/entry/endless_answer_test.cpp
@@ -90,6 +90,17 @@
     entry_fixture entry_;
 };
 
+TEST(endless_answer, an_endless_line_before_a_chunk_of_a_request_is_rejected)
+{
+    entry_.configure();
+    raw_caller caller{entry_.callers()};
+    caller.send("POST /plain/ HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k\r\n"
+                "Tanagerlead-Request-Id: q1\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n5;x=" +
+                std::string(1U << 18U, 'x'));
+    CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 431"));
+}
+
 TEST(endless_answer, is_cut_off_and_its_caller_answered_at_once)
 {
     entry_.configure();
