--- a/tests/routing/simulated_registry.cpp
+++ b/tests/routing/simulated_registry.cpp
@@ -277,7 +277,7 @@
         {
             // What the store would answer now is lost.
             auto dead = c;
-            dead.is_dead_ = !is_watch || random_.below(2) == 0;
+            dead.is_dead_ = !c.outlives_silence_;
             d.calls_.push_back(dead);
         }
         else if (now_ - c.started_ < answer_time ||
@@ -359,7 +359,8 @@
     }
     for (auto const& c : calls)
     {
-        d.calls_.push_back({c, now_, false});
+        auto const is_watch = c.kind_ == store_call::kind::watch;
+        d.calls_.push_back({c, now_, false, is_watch && random_.below(2) == 0});
     }
     auto const wakeup = d.directory_.next_wakeup();
     if (now_ >= wakeup && d.listed_for_ != wakeup)
--- a/tests/routing/simulated_registry.hpp
+++ b/tests/routing/simulated_registry.hpp
@@ -53,6 +53,8 @@
         base::time_point started_;
         /// Its answer never comes, although new calls are answered.
         bool is_dead_ = false;
+        /// It is answered after a time in which the store is silent.
+        bool outlives_silence_ = false;
     };
 
     struct simulated_target
--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -17,6 +17,11 @@
 /// Time within which every daemon must have heard of a shutdown from the
 /// others.
 constexpr base::duration leaving_reaction_time = 2s;
+/// Time within which daemons must keep a limit, and what it allows in a window.
+constexpr base::duration limit_reaction_time = 3s;
+constexpr base::duration limit_window = 4s;
+constexpr double limit_factor = 1.5;
+constexpr double limit_slack = 5;
 /// Time within which a departure that the store has accepted must count.
 constexpr base::duration departure_time = 2s;
 /// Time within which a daemon must respect a pause.
@@ -56,11 +61,45 @@
     head.status_ = 200;
     head.headers_.add("Tanagerlead-Request-Id", id);
     head.headers_.add("Tanagerlead-Server-Signature", "proof-" + id);
+    add_statements(head);
+    return head;
+}
+
+void platform_target::add_statements(net::http_response& head) const
+{
     if (is_leaving_)
     {
         head.headers_.add("Server-Leaving", "1");
     }
-    return head;
+    if (limit_ > 0)
+    {
+        head.headers_.add("Server-Limit", std::to_string(limit_));
+    }
+}
+
+void platform_target::set_limit(double per_second)
+{
+    limit_ = per_second;
+    limited_at_ = net::now();
+    arrivals_.clear();
+}
+
+void platform_target::check_limit()
+{
+    auto const now = net::now();
+    arrivals_.push_back(now);
+    while (arrivals_.front() <= now - limit_window)
+    {
+        arrivals_.pop_front();
+    }
+    auto const allowed =
+        limit_factor * limit_ * base::seconds(limit_window) + limit_slack;
+    // The whole window lies behind the time in which the limit is learned.
+    if (limit_ > 0 && now - limited_at_ > limit_reaction_time + limit_window &&
+        static_cast<double>(arrivals_.size()) > allowed)
+    {
+        on_too_many_(now - limit_window - limit_reaction_time);
+    }
 }
 
 void platform_target::announce_leaving()
@@ -100,6 +139,8 @@
 base::result<void> platform_target::start()
 {
     is_leaving_ = false;
+    limit_ = 0;
+    arrivals_.clear();
     announced_at_.reset();
     departed_at_.reset();
     paused_until_ = {};
@@ -134,10 +175,7 @@
     response.status_ = status;
     response.headers_.add("Tanagerlead-Request-Id", id);
     response.headers_.add("Tanagerlead-Not-Executed", "1");
-    if (is_leaving_)
-    {
-        response.headers_.add("Server-Leaving", "1");
-    }
+    add_statements(response);
     if (net::now() < paused_until_ && status == 503)
     {
         net::set_retry_after(response, paused_until_ - net::now());
@@ -155,6 +193,7 @@
         return;
     }
     check_wanted();
+    check_limit();
     if (runs_.size() >= max_runs || net::now() < paused_until_)
     {
         refuse(from, 503, id);
--- a/tests/soak/platform_target.hpp
+++ b/tests/soak/platform_target.hpp
@@ -3,6 +3,7 @@
 #include "src/net/http_listener.hpp"
 #include "tests/soak/ledger.hpp"
 
+#include <deque>
 #include <map>
 
 namespace tanagerlead::soak
@@ -39,6 +40,12 @@
     /// Turns requests away for `pause` and asks each daemon to wait for that
     /// long.
     void turn_away(base::duration pause);
+    /// Names a limit in all answers, or none any more.
+    void set_limit(double per_second);
+    bool has_limit() const { return limit_ > 0; }
+    /// Called when more requests arrive than the limit allows, with the time
+    /// since when all daemons must have heard it.
+    std::function<void(base::time_point)> on_too_many_;
     /// Called when a request arrives although all daemons must have heard that
     /// the target wants none, with the time since when they must have heard it.
     std::function<void(base::time_point)> on_unwanted_;
@@ -62,6 +69,8 @@
     net::http_response head_for(std::string const& id) const;
     /// Checks whether daemons honour what the target announced.
     void check_wanted();
+    void check_limit();
+    void add_statements(net::http_response& head) const;
     void answer_plain(run& r);
     void answer_event(run& r);
     void end(run& r);
@@ -77,6 +86,10 @@
     base::time_point turned_away_at_{};
     base::time_point paused_until_{};
     int arrivals_in_pause_ = 0;
+    /// Requests a second; 0: none.
+    double limit_ = 0;
+    base::time_point limited_at_{};
+    std::deque<base::time_point> arrivals_;
     std::string id_;
     base::address address_{"127.0.0.1", 0};
     net::http_listener listener_;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -77,6 +77,7 @@
     {"delay a target", &soak_run::delay_target},
     {"drain a target", &soak_run::drain_target},
     {"a target departs", &soak_run::depart_target},
+    {"a target names a limit", &soak_run::limit_target},
     {"silence open connections to the store",
      &soak_run::silence_store_connections},
     {"change the configuration", &soak_run::change_configuration},
@@ -149,6 +150,11 @@
         {
             on_departed_request(*stand_in);
         };
+        target->on_too_many_ =
+            [this, stand_in = target.get()](base::time_point since)
+        {
+            on_too_many_requests(*stand_in, since);
+        };
         targets_.push_back({std::move(target), std::move(relay), true});
         write_target(targets_.back(), "ready");
     }
@@ -484,6 +490,26 @@
     return id;
 }
 
+std::string soak_run::limit_target()
+{
+    auto& place = any_target();
+    if (!place.up_ || place.target_->has_limit())
+    {
+        return {};
+    }
+    auto const id = place.target_->id();
+    place.target_->set_limit(static_cast<double>(1 + random_.below(10)));
+    after(between(8s, 14s),
+          [&place, id]
+          {
+              if (place.up_ && place.target_->id() == id)
+              {
+                  place.target_->set_limit(0);
+              }
+          });
+    return id;
+}
+
 std::string soak_run::change_configuration()
 {
     write_configuration();
@@ -559,27 +585,36 @@
                                    base::time_point since)
 {
     // A daemon that was frozen or has started since may not know.
-    auto const all_ran = std::all_of(daemons_.begin(), daemons_.end(),
-                                     [&](daemon_process const& d) {
-                                         return d.is_up() && !d.is_frozen() &&
-                                                d.calm_since() < since;
-                                     });
-    if (all_ran)
+    if (have_run_since(since))
     {
         ledger_.fail("target " + target.id() +
                      " got a request that it did not want");
     }
 }
 
+bool soak_run::have_run_since(base::time_point since) const
+{
+    return std::all_of(daemons_.begin(), daemons_.end(),
+                       [since](daemon_process const& d) {
+                           return d.is_up() && !d.is_frozen() &&
+                                  d.calm_since() < since;
+                       });
+}
+
+void soak_run::on_too_many_requests(platform_target const& target,
+                                    base::time_point since)
+{
+    if (have_run_since(since))
+    {
+        ledger_.fail("target " + target.id() +
+                     " got more requests than its limit allows");
+    }
+}
+
 void soak_run::on_departed_request(platform_target const& target)
 {
     auto const stable_since = net::now() - stable_window;
-    auto const all_calm = std::all_of(daemons_.begin(), daemons_.end(),
-                                      [&](daemon_process const& d) {
-                                          return d.is_up() && !d.is_frozen() &&
-                                                 d.calm_since() < stable_since;
-                                      });
-    if (all_calm && store_disturbed_until_ < stable_since)
+    if (have_run_since(stable_since) && store_disturbed_until_ < stable_since)
     {
         ledger_.fail("target " + target.id() +
                      " got a request after its departure");
@@ -602,6 +637,7 @@
     for (auto& place : targets_)
     {
         restore(*place.relay_);
+        place.target_->set_limit(0);
     }
     store_.set_fault(store_fault::none);
     note("all faults are lifted");
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -77,6 +77,7 @@
     std::string delay_target();
     std::string drain_target();
     std::string depart_target();
+    std::string limit_target();
     std::string silence_store_connections();
     std::string change_configuration();
     std::string restore_store();
@@ -105,6 +106,10 @@
     void on_unwanted_request(platform_target const& target,
                              base::time_point since);
     void on_departed_request(platform_target const& target);
+    void on_too_many_requests(platform_target const& target,
+                              base::time_point since);
+    /// Whether all daemons run, without a disturbance since `since`.
+    bool have_run_since(base::time_point since) const;
     /// The store, or a daemon's path to it, is disturbed until `until`.
     void disturb_store_until(base::time_point until)
     {
