--- a/tests/routing/simulated_registry.cpp
+++ b/tests/routing/simulated_registry.cpp
@@ -261,15 +261,8 @@
         auto const limit = is_watch ? c.call_.wait_ + call_timeout
                                     : base::duration{call_timeout};
         auto const now_path = path_of(d);
-        if (now_ - c.started_ > limit)
-        {
-            d.follower_->on_failure(id, now_);
-        }
-        else if (c.is_dead_)
-        {
-            d.calls_.push_back(c);
-        }
-        else if (now_path == path::refused)
+        auto const is_over = now_ - c.started_ > limit;
+        if (is_over || (now_path == path::refused && !c.is_dead_))
         {
             d.follower_->on_failure(id, now_);
         }
@@ -277,10 +270,10 @@
         {
             // What the store would answer now is lost.
             auto dead = c;
-            dead.is_dead_ = !c.outlives_silence_;
+            dead.is_dead_ = c.is_dead_ || !c.outlives_silence_;
             d.calls_.push_back(dead);
         }
-        else if (now_ - c.started_ < answer_time ||
+        else if (c.is_dead_ || now_ - c.started_ < answer_time ||
                  (is_watch && !answer_watch(d, c)))
         {
             d.calls_.push_back(c);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -468,7 +468,7 @@
     {
         return {};
     }
-    auto const id = place.target_->id();
+    auto id = place.target_->id();
     if (random_.below(2) == 0)
     {
         write_target(place, "draining");
@@ -497,7 +497,7 @@
     {
         return {};
     }
-    auto const id = place.target_->id();
+    auto id = place.target_->id();
     place.target_->set_limit(static_cast<double>(1 + random_.below(10)));
     after(between(8s, 14s),
           [&place, id]
