--- a/tests/routing/fixtures.hpp
+++ b/tests/routing/fixtures.hpp
@@ -55,6 +55,16 @@
 
     dispatcher* operator->() { return &dispatcher_; }
 
+    /// Submits a call whose caller waits for 10 s, and advances.
+    void submit(std::uint64_t number, base::time_point now)
+    {
+        auto c = call(number);
+        c.work_.received_ = now;
+        c.work_.deadline_ = now + 10s;
+        dispatcher_.submit(c, now);
+        advance(now);
+    }
+
     void advance(base::time_point now)
     {
         std::vector<sched::action> actions;
--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -99,6 +99,7 @@
         static_cast<double>(arrivals_.size()) > allowed)
     {
         on_too_many_(now - limit_window - limit_reaction_time);
+        arrivals_.clear();
     }
 }
 
