--- a/tests/routing/simulated_registry.cpp
+++ b/tests/routing/simulated_registry.cpp
@@ -11,6 +11,7 @@
 
 constexpr base::duration step = 10ms;
 constexpr base::duration answer_time = 10ms;
+constexpr base::duration check_interval = 50ms;
 constexpr base::duration call_timeout = 1500ms;
 constexpr base::duration report_interval = 150ms;
 constexpr base::duration max_report_delay = 60ms;
@@ -463,6 +464,10 @@
 
 void simulated_registry::check()
 {
+    if ((now_ - at(0s)) % check_interval != base::duration{})
+    {
+        return;
+    }
     for (auto const& d : daemons_)
     {
         if (is_frozen(d))
