No hash of a target for each answer while no target has a limit

From reading the diff: every answer built the target's text and its hash to look for a limit, also when there is none, on the path of each request. The revision of a follower had a reader that nobody called. Leaving targets and limits share one turn in reports, which needs equal limits of both: asserted at compile time.

--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -597,6 +597,8 @@
                        : 0;
     auto& turn = statement_turns_.at(static_cast<std::size_t>(to));
     dispatcher_.report_usage(report, now, turn);
+    static_assert(routing::peer_report::max_leaving ==
+                  routing::peer_report::max_limits);
     turn += routing::peer_report::max_leaving;
     usage_schedules_.at(static_cast<std::size_t>(to))
         .add_to(report, quotas_, usage_time, now);
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -155,7 +155,9 @@
                           std::optional<request_rate> limit,
                           base::time_point sent, base::time_point now)
 {
-    return limits_.on_answer(digest_of(target), limit, sent, now);
+    // Nearly all answers come while no target has a limit.
+    return (limit || !limits_.empty()) &&
+           limits_.on_answer(digest_of(target), limit, sent, now);
 }
 
 void dispatcher::on_limit_reported(limit_statement const& statement,
--- a/src/routing/store_follower.hpp
+++ b/src/routing/store_follower.hpp
@@ -127,8 +127,6 @@
     /// Since when changes may have been missed, until the next listing.
     gap current_gap() const { return gap_; }
     bool is_lost() const { return gap_ != gap::none; }
-    /// Revision up to which all changes are known.
-    store_revision revision() const { return revision_; }
     /// Revision of the newest change of the prefix that this daemon knows.
     store_revision newest_change() const { return newest_change_; }
 
@@ -162,6 +160,7 @@
     /// staggered.
     bool is_after_change_ = true;
     gap gap_ = gap::none;
+    /// Revision up to which all changes are known.
     store_revision revision_{};
     store_revision newest_change_{};
     store_revision peer_revision_{};
