Log the end of a stream inside an event

An exchange now tells its sink whether the framing or the close of the connection ended the answer, and a stream that ends with part of an event left is logged with both. Nothing else acts on it.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -334,7 +334,7 @@
     caller_->send_chunk(bytes);
 }
 
-void call::on_complete()
+void call::on_complete(net::answer_end end)
 {
     auto const self = shared_from_this();
     if (channel_->is_reusable())
@@ -345,14 +345,27 @@
     stall_timer_.clear();
     if (is_streamed_)
     {
-        finish_stream();
+        finish_stream(end);
         return;
     }
     on_whole_answer();
 }
 
-void call::finish_stream()
+void call::finish_stream(net::answer_end end)
 {
+    if (event_splitter_.has_partial_event())
+    {
+        delegate_.log().write(
+            log_category::attempt,
+            log_line{"Stream ended inside an event."}
+                .with("request", context_.metadata_.request_id_)
+                .with("target", target_.id_.str())
+                .with("ended_by", net::to_string(end))
+                .with("partial_bytes",
+                      static_cast<std::int64_t>(
+                          event_splitter_.partial_event().size())),
+            net::now());
+    }
     if (attempt_event_count_ > 1)
     {
         delegate_.on_service_time(
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -113,7 +113,7 @@
 
     net::head_action on_head(net::http_response const& head) override;
     void on_body(std::string_view bytes) override;
-    void on_complete() override;
+    void on_complete(net::answer_end end) override;
     void on_broken(std::string const& detail) override;
 
 private:
@@ -137,7 +137,7 @@
     void on_stall_timeout();
     void arm_stall_timer();
     void on_whole_answer();
-    void finish_stream();
+    void finish_stream(net::answer_end end);
     void fail(routing::attempt_failure failure, std::string const& detail);
     void apply_verdict(routing::retry_decision verdict,
                        std::string const& cause);
--- a/src/external/etcd_watch.cpp
+++ b/src/external/etcd_watch.cpp
@@ -65,7 +65,7 @@
         }
     }
 
-    void on_complete() override { end(); }
+    void on_complete(net::answer_end /*end*/) override { end(); }
     void on_broken(std::string const& /*detail*/) override { end(); }
 
     void end()
--- a/src/http/http_exchange.cpp
+++ b/src/http/http_exchange.cpp
@@ -116,7 +116,7 @@
     }
 }
 
-void http_exchange::on_complete()
+void http_exchange::on_complete(net::answer_end /*end*/)
 {
     finish(framed_ ? exchange_end::complete : exchange_end::cut);
 }
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -57,6 +57,11 @@
 
 } // namespace
 
+char const* to_string(answer_end end)
+{
+    return end == answer_end::close ? "close" : "framing";
+}
+
 channel::channel(asio::io_context& loop, base::address peer)
     : socket_{loop}, peer_{std::move(peer)}, connect_timer_{
                                                  loop, [this]
@@ -220,7 +225,7 @@
         parser_->need_eof() && !skipping_)
     {
         keep_alive_ = false;
-        complete();
+        complete(answer_end::close);
         return;
     }
     fail_exchange(error.message());
@@ -251,7 +256,7 @@
         {
             if (!skipping_)
             {
-                complete();
+                complete(answer_end::framing);
                 return;
             }
             reset_parser();
@@ -355,13 +360,13 @@
     return true;
 }
 
-void channel::complete()
+void channel::complete(answer_end end)
 {
     auto* const sink = sink_;
     // Bytes after the end of the answer belong to no request, so the connection
     // is not reused.
     finish_exchange(keep_alive_ && unparsed_.size() == 0 && !sending_);
-    sink->on_complete();
+    sink->on_complete(end);
 }
 
 void channel::finish_exchange(bool keep_alive)
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -28,6 +28,17 @@
     refuse,
 };
 
+/// What marked the end of an answer.
+enum class answer_end : std::uint8_t
+{
+    /// Its length, its last chunk, or that it has no body.
+    framing,
+    /// The peer closed the connection, so a part of the body may be missing.
+    close,
+};
+
+char const* to_string(answer_end end);
+
 /// Receives the answer of one exchange. No call follows `on_complete` or
 /// `on_broken`.
 class answer_sink
@@ -37,7 +48,7 @@
 
     virtual head_action on_head(http_response const& head) = 0;
     virtual void on_body(std::string_view bytes) = 0;
-    virtual void on_complete() = 0;
+    virtual void on_complete(answer_end end) = 0;
     /// The answer ended early, was malformed or was refused. `detail` is for
     /// logs.
     virtual void on_broken(std::string const& detail) = 0;
@@ -90,7 +101,7 @@
     bool parse_some(error_code& error);
     bool handle_head();
     void on_read_error(error_code const& error);
-    void complete();
+    void complete(answer_end end);
     void finish_exchange(bool keep_alive);
     void fail_exchange(std::string const& detail);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -75,7 +75,7 @@
         }
     }
 
-    void on_complete() override
+    void on_complete(answer_end /*end*/) override
     {
         if (channel_->is_reusable())
         {
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -161,7 +161,7 @@
     answer_.body_.append(bytes);
 }
 
-void soak_caller::on_complete()
+void soak_caller::on_complete(net::answer_end /*end*/)
 {
     if (answer_.status_ == 200)
     {
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -39,7 +39,7 @@
 private:
     net::head_action on_head(net::http_response const& head) override;
     void on_body(std::string_view bytes) override;
-    void on_complete() override;
+    void on_complete(net::answer_end end) override;
     void on_broken(std::string const& detail) override;
 
     void begin();
