A stream that ends inside an event is broken off, not complete

The target sent them with neither a length nor chunks and closed the connection inside an event. An orderly close is the only end that such an answer has, so the channel reported it as complete, and finish_stream forwarded the rest that it had buffered and ended the caller's chunked answer properly.

A stream that ends inside an event now counts as a broken attempt, whatever framed it: it is resumed after its last whole event, or the caller's answer is cut off. So does a connection that closes before the first event, which is not an empty stream. The same holds for an event stream on a route that is not a stream route, whose answer is forwarded as a whole. An answer of another media type on a stream route is forwarded as a whole; it used to pass as the rest of a stream.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -26,6 +26,21 @@
 constexpr base::duration min_time_for_retry = 30ms;
 /// Larger answers that are not streamed are rejected.
 constexpr std::size_t max_answer_bytes = 16 << 20;
+constexpr std::string_view event_stream_type = "text/event-stream";
+
+bool ends_inside_event(net::http_response const& answer)
+{
+    if (net::media_type(answer.headers_) != event_stream_type)
+    {
+        return false;
+    }
+    routing::event_splitter events;
+    events.feed(answer.body_);
+    while (events.next())
+    {
+    }
+    return events.has_partial_event();
+}
 
 attempt_outcome call_end_for(attempt_failure failure)
 {
@@ -244,7 +259,9 @@
     drop_answer_body();
     answer_ = head;
     answer_metadata_ = metadata;
-    is_streamed_ = is_stream() && head.status_ == 200 && metadata.is_signed_;
+    auto const type = net::media_type(head.headers_);
+    is_streamed_ = is_stream() && head.status_ == 200 && metadata.is_signed_ &&
+                   (type.empty() || type == event_stream_type);
     if (metadata.is_altered_ || (progress_.answer_started_ && !is_streamed_))
     {
         return net::head_action::refuse;
@@ -353,18 +370,16 @@
 
 void call::finish_stream(net::answer_end end)
 {
-    if (event_splitter_.has_partial_event())
-    {
-        delegate_.log().write(
-            log_category::attempt,
-            log_line{"Stream ended inside an event."}
-                .with("request", context_.metadata_.request_id_)
-                .with("target", target_.id_.str())
-                .with("ended_by", net::to_string(end))
-                .with("partial_bytes",
-                      static_cast<std::int64_t>(
-                          event_splitter_.partial_event().size())),
-            net::now());
+    // A stream has at least one event, so a close before the first one is a
+    // broken connection as well.
+    auto const is_broken =
+        event_splitter_.has_partial_event() ||
+        (end == net::answer_end::close && attempt_event_count_ == 0);
+    if (is_broken)
+    {
+        log_broken_stream(end);
+        on_broken("stream ended inside an event");
+        return;
     }
     if (attempt_event_count_ > 1)
     {
@@ -373,14 +388,27 @@
             attempt_event_count_ - 1);
     }
     end_attempt(attempt_outcome::finished);
-    if (event_splitter_.has_partial_event() || !progress_.answer_started_)
+    if (!progress_.answer_started_)
     {
-        send_to_caller(event_splitter_.partial_event());
+        send_to_caller("");
     }
     caller_->end_answer();
     finish(call_outcome::complete, "");
 }
 
+void call::log_broken_stream(net::answer_end end) const
+{
+    delegate_.log().write(
+        log_category::attempt,
+        log_line{"Stream ended inside an event."}
+            .with("request", context_.metadata_.request_id_)
+            .with("target", target_.id_.str())
+            .with("ended_by", net::to_string(end))
+            .with("partial_bytes", static_cast<std::int64_t>(
+                                       event_splitter_.partial_event().size())),
+        net::now());
+}
+
 // Forwards only answers that the target signed.
 void call::on_whole_answer()
 {
@@ -399,6 +427,11 @@
              "unproven status " + std::to_string(status));
         return;
     }
+    if (ends_inside_event(answer_))
+    {
+        on_broken("stream ended inside an event");
+        return;
+    }
     if (status >= 500)
     {
         progress_.may_have_run_ = true;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -138,6 +138,7 @@
     void arm_stall_timer();
     void on_whole_answer();
     void finish_stream(net::answer_end end);
+    void log_broken_stream(net::answer_end end) const;
     void fail(routing::attempt_failure failure, std::string const& detail);
     void apply_verdict(routing::retry_decision verdict,
                        std::string const& cause);
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cstdio>
 #include <ctime>
@@ -50,6 +51,15 @@
                                  boost::beast::string_view{b.data(), b.size()});
 }
 
+std::string media_type(header_list const& headers)
+{
+    auto type = headers.value("Content-Type");
+    type = type.substr(0, type.find_first_of("; \t"));
+    std::transform(type.begin(), type.end(), type.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    return type;
+}
+
 void header_list::add(std::string name, std::string value)
 {
     fields_.push_back({std::move(name), std::move(value)});
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -58,6 +58,10 @@
     std::string body_;
 };
 
+/// Media type of the body in lower case, without parameters; empty if it is not
+/// stated.
+std::string media_type(header_list const& headers);
+
 bool header_names_equal(std::string_view a, std::string_view b);
 
 /// Removes the hop-by-hop fields, those listed in `Connection` included, the
--- a/tests/entry/stream_end_test.cpp
+++ b/tests/entry/stream_end_test.cpp
@@ -74,7 +74,12 @@
 
     std::string answer_to(std::string const& path)
     {
-        raw_caller caller{entry_.callers()};
+        return answer_to(entry_, path);
+    }
+
+    static std::string answer_to(entry_fixture & entry, std::string const& path)
+    {
+        raw_caller caller{entry.callers()};
         caller.send(entry_fixture::request(path, "", "Connection: close\r\n"));
         return caller.read_to_end();
     }
@@ -103,9 +108,11 @@
 
 TEST(stream_end, a_stream_broken_off_inside_an_event_is_resumed_after_its_last)
 {
-    entry_.configure();
     for (auto const& how : framings)
     {
+        // Its retry budget is fresh.
+        entry_fixture entry;
+        entry.configure();
         for (auto const& partial : partial_events)
         {
             auto const script = [&](std::string const& r)
@@ -116,8 +123,8 @@
             };
             scripted_target first{script};
             scripted_target second{script};
-            entry_.set_targets({&first, &second});
-            auto const answer = answer_to("/stream/");
+            entry.set_targets({&first, &second});
+            auto const answer = answer_to(entry, "/stream/");
             auto const text = text_of(how, partial);
             CHECK_TEXT(answer.ends_with("\r\n" + stream_end), text.c_str());
             auto const at = answer.find(second_event);
@@ -131,6 +138,36 @@
     }
 }
 
+TEST(stream_end, a_buffered_stream_broken_off_inside_an_event_is_not_forwarded)
+{
+    entry_.configure();
+    for (auto const& how : framings)
+    {
+        scripted_target target{
+            [&](std::string const& r)
+            {
+                return answer_in(how, r, first_event + partial_events.back());
+            }};
+        entry_.set_targets({&target});
+        CHECK_TEXT(answer_to("/once/").starts_with("HTTP/1.1 502"), how.name_);
+    }
+}
+
+TEST(stream_end, an_answer_of_another_type_is_forwarded_on_a_stream_route)
+{
+    entry_.configure();
+    scripted_target target{
+        [](std::string const& r)
+        {
+            auto text = complete_answer(r, 200, "{}");
+            text.insert(text.find("Content-Length"),
+                        "Content-Type: application/json\r\n");
+            return std::vector<step>{{action::send, text}};
+        }};
+    entry_.set_targets({&target});
+    CHECK(answer_to("/flow/").ends_with("\r\n\r\n{}"));
+}
+
 TEST(stream_end, a_stream_of_whole_events_may_end_with_its_connection)
 {
     entry_.configure();
