tanagerleadd: one definition of an answer that ends with its connection

http_exchange worked out from the head whether an answer has framing, which the channel knows. It uses what the channel says now. Behaviour is unchanged; http_test passes.

--- a/src/http/http_exchange.cpp
+++ b/src/http/http_exchange.cpp
@@ -29,16 +29,6 @@
     return request;
 }
 
-bool is_framed(net::http_response const& head, std::string const& method)
-{
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    return head.headers_.find("Content-Length") != nullptr ||
-           head.headers_.find("Transfer-Encoding") != nullptr ||
-           method == "HEAD" || head.status_ == no_content ||
-           head.status_ == not_modified;
-}
-
 target_head make_head(net::http_response const& head)
 {
     return {head.status_, head.headers_.value("Content-Type"), head.headers_};
@@ -102,7 +92,6 @@
 net::head_action http_exchange::on_head(net::http_response const& head)
 {
     silence_.set_after(limits_.silence_);
-    framed_ = is_framed(head, request_.method_);
     refused_ = !listener_->on_head(make_head(head));
     return refused_ ? net::head_action::refuse : net::head_action::accept;
 }
@@ -116,9 +105,10 @@
     }
 }
 
-void http_exchange::on_complete(net::answer_end /*end*/)
+void http_exchange::on_complete(net::answer_end end)
 {
-    finish(framed_ ? exchange_end::complete : exchange_end::cut);
+    finish(end == net::answer_end::framing ? exchange_end::complete
+                                           : exchange_end::cut);
 }
 
 void http_exchange::on_broken(std::string const& /*detail*/)
--- a/src/http/http_exchange.hpp
+++ b/src/http/http_exchange.hpp
@@ -40,7 +40,6 @@
     /// The end was found and is on its way to the listener.
     bool ended_ = false;
     /// Whether a cut can be told from the end of the body.
-    bool framed_ = false;
     bool refused_ = false;
     bool connected_ = false;
 };
