--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -91,13 +91,21 @@
         on_loop([&] { data_plane_.on_configuration(fresh); });
     }
 
+    /// A target's id is its place in the list; null stands for one that is
+    /// gone.
     void set_targets(std::vector<scripted_target const*> const& targets)
     {
         std::vector<routing::target_info> infos;
+        int place = 0;
         for (auto const* const t : targets)
         {
+            auto const name = "i-" + std::to_string(place++);
+            if (t == nullptr)
+            {
+                continue;
+            }
             routing::target_info info;
-            info.id_ = base::target_id{"i-" + std::to_string(infos.size())};
+            info.id_ = base::target_id{name};
             info.pool_ = base::pool_id{"p"};
             info.address_ = t->address();
             info.data_centre_ = base::data_centre_id{"here"};
--- a/tests/entry/scripted_target.cpp
+++ b/tests/entry/scripted_target.cpp
@@ -66,6 +66,19 @@
     return has_peer_closed_;
 }
 
+bool scripted_target::has_crashed() const
+{
+    std::lock_guard const lock{mutex_};
+    return has_crashed_;
+}
+
+void scripted_target::crash()
+{
+    ::shutdown(listener_, SHUT_RDWR);
+    std::lock_guard const lock{mutex_};
+    has_crashed_ = true;
+}
+
 void scripted_target::accept_loop()
 {
     while (true)
@@ -171,6 +184,9 @@
             return false;
         case answer_step::action::close:
             return false;
+        case answer_step::action::crash:
+            crash();
+            [[fallthrough]];
         case answer_step::action::reset:
         {
             linger const hard{1, 0};
--- a/tests/entry/scripted_target.hpp
+++ b/tests/entry/scripted_target.hpp
@@ -24,6 +24,8 @@
         close,
         /// Resets the connection.
         reset,
+        /// Closes the listener and resets the connection.
+        crash,
         /// Waits until the peer closes the connection.
         wait_for_peer,
     };
@@ -48,6 +50,7 @@
 
     base::address address() const { return address_; }
     std::vector<std::string> requests() const;
+    bool has_crashed() const;
     /// Whether the peer closed the connection during a `wait_for_peer` step.
     bool has_peer_closed() const;
     /// Bytes that were sent in steps without an end.
@@ -58,6 +61,7 @@
     void serve(int socket);
     static bool read_request(int socket, std::string& pending,
                              std::string& request);
+    void crash();
     void send_without_end(int socket, std::string const& bytes);
     bool run_steps(int socket, std::vector<answer_step> const& steps);
 
@@ -69,6 +73,7 @@
     int connection_ = -1;
     bool is_stopping_ = false;
     bool has_peer_closed_ = false;
+    bool has_crashed_ = false;
     std::size_t endless_bytes_ = 0;
     std::thread thread_;
 };
