--- /dev/null
+++ b/tests/entry/stream_resumption_test.cpp
@@ -0,0 +1,85 @@
+#include "tests/entry/fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+
+using namespace tanagerlead;
+using namespace tanagerlead::test;
+
+namespace
+{
+
+using step = answer_step;
+using action = answer_step::action;
+
+std::vector<step> reject(int status)
+{
+    return {{action::send,
+             "HTTP/1.1 " + std::to_string(status) +
+                 " X\r\nTanagerlead-Request-Id: q1\r\n"
+                 "Tanagerlead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"}};
+}
+
+} // namespace
+
+TEST_GROUP(stream_resumption)
+{
+    entry_fixture entry_;
+    std::atomic<int> rejections_{0};
+
+    /// A stream breaks off after its first event, and `count` targets reject
+    /// its resumption with `status`. Returns what the caller gets.
+    std::string resume(int count, int status)
+    {
+        rejections_ = 0;
+        auto const script = [&](std::string const& r) -> std::vector<step>
+        {
+            if (header_value(r, "Last-Event-Id").empty())
+            {
+                return {{action::send, stream_head(r) + event_chunk(1)},
+                        {action::reset, ""}};
+            }
+            if (rejections_ < count)
+            {
+                ++rejections_;
+                return reject(status);
+            }
+            return {
+                {action::send, stream_head(r) + event_chunk(2) + stream_end}};
+        };
+        std::vector<std::unique_ptr<scripted_target>> targets;
+        std::vector<scripted_target const*> shown;
+        for (int i = 0; i < count + 2; ++i)
+        {
+            targets.push_back(std::make_unique<scripted_target>(script));
+            shown.push_back(targets.back().get());
+        }
+        entry_.configure();
+        entry_.set_targets(shown);
+        raw_caller caller{entry_.callers()};
+        caller.send(
+            entry_fixture::request("/stream/", "", "Connection: close\r\n"));
+        auto const answer = caller.read_to_end();
+        entry_.set_targets({});
+        return answer;
+    }
+};
+
+TEST(stream_resumption, goes_on_at_another_target_if_one_sheds_it)
+{
+    for (auto const status : {503, 429, 421})
+    {
+        auto const answer = resume(1, status);
+        CHECK_TEXT(answer.find("id: 2\n") != std::string::npos,
+                   std::to_string(status).c_str());
+        CHECK(answer.ends_with(stream_end));
+    }
+}
+
+TEST(stream_resumption, is_bounded_when_all_targets_shed_it)
+{
+    auto const answer = resume(6, 503);
+    CHECK(!answer.ends_with(stream_end));
+    LONGS_EQUAL(3, rejections_);
+}
