A resumption that one target sheds goes on at another

Callers saw a begun stream broken off 5 ms after one target had shed its resumption. Two causes: an answer other than a stream was refused during a resumption, so a 503 counted as a broken connection, whose target may have run the request; and the rejected attempt used up the route's second one.

Rejections are read as such now. A target that rejects a request has not run it, so up to three rejected resumptions of an answer that has started do not count as attempts; each is paid from the retry budget. A request without an answer so far is refused as before.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -308,7 +308,9 @@
     auto const type = net::media_type(head.headers_);
     is_streamed_ = is_stream() && head.status_ == 200 && metadata.is_signed_ &&
                    (type.empty() || type == event_stream_type);
-    if (metadata.is_altered_ || (progress_.answer_started_ && !is_streamed_))
+    auto const can_follow =
+        !progress_.answer_started_ || is_streamed_ || metadata.not_executed_;
+    if (metadata.is_altered_ || !can_follow)
     {
         return net::head_action::refuse;
     }
@@ -470,6 +472,7 @@
     auto const status = answer_.status_;
     if (answer_metadata_.not_executed_)
     {
+        ++progress_.rejections_;
         fail(answer_metadata_.is_wrong_target_ ? attempt_failure::wrong_target
                                                : attempt_failure::rejected,
              "status " + std::to_string(status));
--- a/src/routing/attempt_policy.cpp
+++ b/src/routing/attempt_policy.cpp
@@ -18,11 +18,29 @@
                                   : retry_decision::refuse;
 }
 
+namespace
+{
+
+// A target that rejects a request has not run it. An answer that has started is
+// worth more attempts than a request that its caller can send again.
+bool has_attempts_left(call_progress const& progress, route const& route_rules)
+{
+    if (!progress.answer_started_)
+    {
+        return progress.attempts_ < route_rules.max_attempts_;
+    }
+    return progress.attempts_ - progress.rejections_ <
+               route_rules.max_attempts_ &&
+           progress.rejections_ < max_rejected_resumptions;
+}
+
+} // namespace
+
 retry_decision decide_retry(attempt_failure failure,
                             call_progress const& progress,
                             route const& route_rules)
 {
-    auto const attempts_left = progress.attempts_ < route_rules.max_attempts_;
+    auto const attempts_left = has_attempts_left(progress, route_rules);
     auto const ran_once = progress.may_have_run_ && !route_rules.is_retryable();
     if (failure == attempt_failure::not_connected)
     {
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -33,6 +33,8 @@
     bool may_have_run_ = false;
     /// Part of the answer was sent to the caller.
     bool answer_started_ = false;
+    /// Attempts that the target rejected without running them.
+    int rejections_ = 0;
 };
 
 /// What to do after a failed attempt.
@@ -56,6 +58,10 @@
 /// Failed connects after which a request is refused.
 constexpr int max_failed_connects = 3;
 
+/// Rejections of its resumption after which an answer that has started is cut
+/// off.
+constexpr int max_rejected_resumptions = 3;
+
 /// Decides what to do after a failure that `progress` already counts. If the
 /// result is `retry` but the retry budget is used up, the caller uses
 /// `decide_without_retry` instead.
--- a/tests/routing/attempt_policy_test.cpp
+++ b/tests/routing/attempt_policy_test.cpp
@@ -22,7 +22,7 @@
 using f = attempt_failure;
 using v = retry_decision;
 
-// attempts, failed connects, may have run, answer begun
+// attempts, failed connects, may have run, answer begun, rejections
 constexpr policy_case cases[] = {
     {"first connect fails",
      k::non_idempotent,
@@ -157,6 +157,34 @@
      f::not_connected,
      {1, 1, true, false},
      v::fail},
+    {"first resumption of two attempts rejected",
+     k::stream,
+     true,
+     2,
+     f::rejected,
+     {2, 0, true, true, 1},
+     v::retry},
+    {"third rejected resumption",
+     k::stream,
+     true,
+     2,
+     f::rejected,
+     {4, 0, true, true, 3},
+     v::truncate},
+    {"resumption broken off after a rejected one",
+     k::stream,
+     true,
+     2,
+     f::broken,
+     {3, 0, true, true, 1},
+     v::truncate},
+    {"both attempts rejected before an answer",
+     k::stream,
+     true,
+     2,
+     f::rejected,
+     {2, 0, false, false, 2},
+     v::refuse},
 };
 
 } // namespace
