Soak: a part of prompts crashes targets

A fault of its own: for some seconds 3% of the requests have a part that crashes the target which runs them. Checked: at most three of them reach targets later than the window of 3 s after the fifth crash, while all daemons run undisturbed, and no other request is refused as one that crashes targets.

A crashed target's relay went on accepting connections, so that no daemon could see that the target was gone. It is stopped first now, and the target comes back behind a new one, under another address; relay::stop closes its sockets.

--- a/tests/entry/stream_resumption_test.cpp
+++ b/tests/entry/stream_resumption_test.cpp
@@ -60,7 +60,7 @@
         raw_caller caller{entry_.callers()};
         caller.send(
             entry_fixture::request("/stream/", "", "Connection: close\r\n"));
-        auto const answer = caller.read_to_end();
+        auto answer = caller.read_to_end();
         entry_.set_targets({});
         return answer;
     }
--- a/tests/fakes/relay.cpp
+++ b/tests/fakes/relay.cpp
@@ -101,6 +101,9 @@
     }
     wake();
     thread_.join();
+    // Connects are refused before the ends of a connection learn anything.
+    tcp_.shut_down();
+    connections_.clear();
 }
 
 base::result<void> relay::bind()
--- a/tests/fakes/relay.hpp
+++ b/tests/fakes/relay.hpp
@@ -24,6 +24,7 @@
     ~relay();
 
     base::result<void> start();
+    /// Closes all connections; later connects are refused.
     void stop();
 
     base::address address() const { return local_; }
--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -201,6 +201,11 @@
         return;
     }
     ledger_.on_run(id);
+    if (does_crash_(in.headers_.value("Tanagerlead-Prompt-Prefix")))
+    {
+        // The connection breaks with the target.
+        return;
+    }
     auto const fresh = std::make_shared<run>(run{from, id, 1, nullptr});
     auto* const r = fresh.get();
     runs_.emplace(r, fresh);
--- a/tests/soak/platform_target.hpp
+++ b/tests/soak/platform_target.hpp
@@ -49,6 +49,9 @@
     /// Called when a request arrives although all daemons must have heard that
     /// the target wants none, with the time since when they must have heard it.
     std::function<void(base::time_point)> on_unwanted_;
+    /// Called with the prompt parts of each request that it begins to run.
+    /// Whether that crashes it; the owner ends it soon after.
+    std::function<bool(std::string const& parts)> does_crash_;
     /// Called when a request arrives later than the bound after `depart`.
     std::function<void()> on_departed_request_;
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -21,6 +21,11 @@
 constexpr base::duration directory_patience = 1s;
 constexpr base::duration connect_patience = 1s;
 constexpr int directory_tries = 3;
+/// Of the requests, while there is a part that crashes targets.
+constexpr double crashing_fraction = 0.03;
+constexpr int prompt_beginnings = 4;
+/// `Retry-After` of requests that crash targets.
+constexpr std::string_view quarantine_retry_after = "60.000";
 
 } // namespace
 
@@ -145,11 +150,25 @@
     request.headers_.add(
         "Tanagerlead-Deadline-Ms",
         std::to_string(static_cast<int>(base::milliseconds(time_limit))));
+    request.headers_.add("Tanagerlead-Prompt-Prefix", make_prompt_parts());
     request.headers_.add("X-Api-Key", number_ % 2 == 0 ? "key-a" : "key-b");
     late_.set_after(time_limit + late_margin);
     channel_->exchange(request, *this);
 }
 
+std::string soak_caller::make_prompt_parts()
+{
+    auto const bad = fleet_.crashing_part();
+    is_crashing_ = !bad.empty() && random_.uniform() < crashing_fraction;
+    auto parts = "a" + std::to_string(number_ % prompt_beginnings) + ":50,";
+    if (is_crashing_)
+    {
+        parts += bad + ":20,";
+    }
+    return parts + std::to_string(number_) + "c" + std::to_string(count_) +
+           ":9";
+}
+
 net::head_action soak_caller::on_head(net::http_response const& head)
 {
     answer_ = head;
@@ -167,6 +186,7 @@
     {
         check_whole();
     }
+    check_refusal();
     finish(answer_.status_);
 }
 
@@ -187,6 +207,16 @@
     }
 }
 
+void soak_caller::check_refusal()
+{
+    if (!is_crashing_ && answer_.status_ == 503 &&
+        answer_.headers_.value("Retry-After") == quarantine_retry_after)
+    {
+        ledger_.fail("request " + id_ +
+                     " was refused as one that crashes targets");
+    }
+}
+
 void soak_caller::check_events()
 {
     std::string whole;
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -17,6 +17,8 @@
     /// Whether the daemon at this address has run without a pause since then.
     virtual bool ran_since(base::address const& callers,
                            base::time_point when) const = 0;
+    /// ID of a part of prompts that crashes targets; empty if there is none.
+    virtual std::string crashing_part() const = 0;
 };
 
 /// One caller: asks where to connect, sends one request after the other on a
@@ -48,7 +50,9 @@
                          int tries_left);
     void connect();
     void send();
+    std::string make_prompt_parts();
     void check_whole();
+    void check_refusal();
     void check_events();
     void finish(int status);
     void on_late();
@@ -69,6 +73,8 @@
     /// Of the request under way.
     std::string id_;
     int count_ = 0;
+    /// The request has the part that crashes targets.
+    bool is_crashing_ = false;
     base::time_point sent_at_{};
     net::http_response answer_;
     bool stopping_ = false;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <sstream>
 #include <unistd.h>
 
 namespace tanagerlead::soak
@@ -32,6 +33,10 @@
 /// After the end of a disturbance, this time passes until departures must count
 /// in time.
 constexpr base::duration stable_window = 3s;
+/// Crashes under one part of prompts after which all daemons must know it, and
+/// requests with it that may reach targets later than the window after that.
+constexpr std::size_t crashes_to_know = 5;
+constexpr int max_late_crashing_requests = 3;
 /// Age of a process before it gets a signal.
 constexpr base::duration min_age_for_signal = 200ms;
 /// Allowed beyond the grace period, since the machine may be busy.
@@ -54,6 +59,14 @@
             {"GapAimMs", 400},   {"ResumeStreams", true}};
 }
 
+std::unique_ptr<fakes::relay> relay_to(platform_target const& target)
+{
+    auto relay = std::make_unique<fakes::relay>(base::address{"127.0.0.1", 0},
+                                                target.address());
+    relay->start().value();
+    return relay;
+}
+
 void restore(fakes::relay& faulty)
 {
     faulty.apply({relay_action::restore, {}, true, {}});
@@ -84,6 +97,7 @@
     {"restore the store", &soak_run::restore_store},
     {"target announces its shutdown", &soak_run::announce_leaving},
     {"target asks for a pause", &soak_run::pause_target},
+    {"a part of prompts crashes targets", &soak_run::begin_crashing_part},
 };
 
 soak_run::soak_run(soak_settings settings)
@@ -138,9 +152,7 @@
     {
         auto target = std::make_unique<platform_target>(loop_, ledger_, i);
         target->start().value();
-        auto relay = std::make_unique<fakes::relay>(
-            base::address{"127.0.0.1", 0}, target->address());
-        relay->start().value();
+        auto relay = relay_to(*target);
         target->on_unwanted_ =
             [this, stand_in = target.get()](base::time_point since)
         {
@@ -155,8 +167,13 @@
         {
             on_too_many_requests(*stand_in, since);
         };
-        targets_.push_back({std::move(target), std::move(relay), true});
-        write_target(targets_.back(), "ready");
+        auto& place = targets_.emplace_back(
+            target_place{std::move(target), std::move(relay), true});
+        place.target_->does_crash_ = [this, &place](std::string const& parts)
+        {
+            return on_prompt(place, parts);
+        };
+        write_target(place, "ready");
     }
     write_configuration();
     for (int i = 0; i < settings_.daemons_; ++i)
@@ -397,16 +414,71 @@
     return id;
 }
 
+std::string soak_run::begin_crashing_part()
+{
+    auto const now = net::now();
+    if (now < crashing_part_.until_)
+    {
+        return {};
+    }
+    constexpr int first_id = 0xbad0;
+    std::ostringstream id;
+    id << std::hex << first_id + ++crashing_parts_;
+    crashing_part_ = {id.str(), now + between(6s, 12s), {}, 0};
+    return crashing_part_.id_;
+}
+
+std::string soak_run::crashing_part() const
+{
+    return !faults_lifted_ && net::now() < crashing_part_.until_
+               ? crashing_part_.id_
+               : std::string{};
+}
+
+bool soak_run::on_prompt(target_place& place, std::string const& parts)
+{
+    if (crashing_part_.id_.empty() ||
+        parts.find("," + crashing_part_.id_ + ":") == std::string::npos)
+    {
+        return false;
+    }
+    auto const now = net::now();
+    auto& crashes = crashing_part_.crashes_;
+    auto const is_known = crashes.size() >= crashes_to_know &&
+                          now - crashes[crashes_to_know - 1] > stable_window &&
+                          have_run_since(now - stable_window);
+    if (is_known &&
+        ++crashing_part_.late_requests_ == max_late_crashing_requests + 1)
+    {
+        ledger_.fail(
+            "targets got " + std::to_string(crashing_part_.late_requests_) +
+            " requests with the part " + crashing_part_.id_ +
+            " although it had crashed " + std::to_string(crashes.size()));
+    }
+    if (place.up_)
+    {
+        crashes.push_back(now);
+        note("part " + crashing_part_.id_ + " crashes " + place.target_->id());
+        place.up_ = false;
+        // The target is in the middle of the request.
+        net::asio::post(loop_, [this, &place] { replace_target(place); });
+    }
+    return true;
+}
+
 void soak_run::replace_target(target_place& place)
 {
     place.up_ = false;
     auto const old = "servers/" + place.target_->id();
+    place.relay_->stop();
     place.target_->crash();
     after(between(300ms, 2s), [this, old] { store_.remove(old); });
     after(between(300ms, 2500ms),
           [this, &place]
           {
               place.target_->restart();
+              stopped_relays_.push_back(std::move(place.relay_));
+              place.relay_ = relay_to(*place.target_);
               place.up_ = true;
               write_target(place, "ready");
           });
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -40,6 +40,16 @@
     std::vector<std::string> const& story() const { return story_; }
 
 private:
+    /// A part of prompts that crashes the targets which run it.
+    struct crashing_part_record
+    {
+        std::string id_;
+        base::time_point until_{};
+        std::vector<base::time_point> crashes_;
+        /// Requests that reached targets although all daemons must know.
+        int late_requests_ = 0;
+    };
+
     struct target_place
     {
         std::unique_ptr<platform_target> target_;
@@ -61,6 +71,7 @@
     std::vector<base::address> directories() const override;
     bool ran_since(base::address const& callers,
                    base::time_point when) const override;
+    std::string crashing_part() const override;
 
     std::string kill_daemon();
     std::string freeze_daemon();
@@ -83,6 +94,7 @@
     std::string restore_store();
     std::string announce_leaving();
     std::string pause_target();
+    std::string begin_crashing_part();
 
     void start();
     void start_daemon(daemon_process& d);
@@ -99,13 +111,16 @@
     void poll_versions();
     void write_configuration();
     void write_target(target_place& place, char const* state);
-    /// Ends a target and starts it again under a new id.
+    /// Ends a target and starts it again under a new id and address.
     void replace_target(target_place& place);
     /// Removes the registry entries of targets that are not up.
     void remove_lapsed_targets();
     void on_unwanted_request(platform_target const& target,
                              base::time_point since);
     void on_departed_request(platform_target const& target);
+    /// A target begins to run a request with these parts of a prompt. Whether
+    /// that crashes it.
+    bool on_prompt(target_place& place, std::string const& parts);
     void on_too_many_requests(platform_target const& target,
                               base::time_point since);
     /// Whether all daemons run, without a disturbance since `since`.
@@ -131,6 +146,10 @@
     platform_store store_{loop_};
     net::http_client client_{loop_};
     std::deque<target_place> targets_;
+    /// Those of crashed targets; orders to them may be pending.
+    std::vector<std::unique_ptr<fakes::relay>> stopped_relays_;
+    crashing_part_record crashing_part_;
+    int crashing_parts_ = 0;
     std::deque<daemon_process> daemons_;
     std::deque<soak_caller> callers_;
     net::deadline_timer fault_timer_;
