One daemon tries quarantined parts of prompts now and then

A sound part that was blamed wrongly stayed in quarantine for ten minutes: nobody sent a request with it that could have cleared it.

One daemon, chosen by rendezvous hashing, now lets one request through 5 s after the last crash and one a minute later.

Tried and not taken: letting requests through at any daemon as long as fewer than five targets have crashed.

entry_test 67 and part_quarantine 15 pass.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <utility>
 
 namespace tanagerlead::entry
 {
@@ -181,7 +182,8 @@
         return;
     }
     channel_ = std::move(opened);
-    if (delegate_.is_quarantined(*this))
+    auto const is_trial = std::exchange(context_.is_trial_, false);
+    if (!is_trial && delegate_.is_quarantined(*this))
     {
         delegate_.release_channel(target_.id_, channel_);
         channel_.reset();
@@ -189,6 +191,7 @@
         refuse_quarantined();
         return;
     }
+    is_trial_ = is_trial;
     send();
 }
 
@@ -208,7 +211,7 @@
 void call::on_quarantine_changed()
 {
     auto const self = shared_from_this();
-    if (state_ != state::running || has_run_well() ||
+    if (state_ != state::running || is_trial_ || has_run_well() ||
         !delegate_.is_quarantined(*this))
     {
         return;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -93,6 +93,9 @@
         /// Units charged to the workspace's quota; refunded if the request does
         /// not run.
         double quota_units_ = 0;
+        /// It is in quarantine and let through once, to see whether it still
+        /// crashes its target.
+        bool is_trial_ = false;
     };
 
     /// `delegate` must outlive the call.
@@ -185,6 +188,8 @@
     base::time_point attempt_last_event_at_{};
     int attempt_event_count_ = 0;
     bool is_proved_ = false;
+    /// The current attempt is the trial of a request in quarantine.
+    bool is_trial_ = false;
     int status_ = 0;
 };
 
--- a/src/entry/crash_monitor.cpp
+++ b/src/entry/crash_monitor.cpp
@@ -5,11 +5,12 @@
 namespace tanagerlead::entry
 {
 
-crash_monitor::crash_monitor(routing::dispatcher& dispatcher,
+crash_monitor::crash_monitor(routing::peer_ip self,
+                             routing::dispatcher& dispatcher,
                              channel_pool& channels, rate_limited_log& log,
                              callbacks on)
-    : dispatcher_{dispatcher}, channels_{channels}, log_{log}, on_{std::move(
-                                                                   on)}
+    : dispatcher_{dispatcher}, channels_{channels}, log_{log},
+      on_{std::move(on)}, crashes_{self}
 {
 }
 
@@ -88,6 +89,19 @@
                                        request.metadata_.shared_parts_, now);
 }
 
+bool crash_monitor::admit(call::request_context& request, base::time_point now)
+{
+    if (!is_blocked(request, now))
+    {
+        return true;
+    }
+    request.is_trial_ =
+        !crashes_.blocked(request.fingerprint_, now) &&
+        crashes_.parts().take_trial(routing::digest_of(request.pool_.str()),
+                                    request.metadata_.shared_parts_, now);
+    return request.is_trial_;
+}
+
 void crash_monitor::check_quarantine()
 {
     auto const& parts = crashes_.parts();
--- a/src/entry/crash_monitor.hpp
+++ b/src/entry/crash_monitor.hpp
@@ -29,8 +29,14 @@
     };
 
     /// The arguments must outlive the monitor.
-    crash_monitor(routing::dispatcher& dispatcher, channel_pool& channels,
-                  rate_limited_log& log, callbacks on);
+    crash_monitor(routing::peer_ip self, routing::dispatcher& dispatcher,
+                  channel_pool& channels, rate_limited_log& log, callbacks on);
+
+    /// The daemons of the fleet that take requests.
+    void set_fleet(std::vector<routing::peer_ip> daemons)
+    {
+        crashes_.parts().set_fleet(std::move(daemons));
+    }
 
     /// The connection to `target` broke while the target held this request.
     void on_broken(call const& running, base::target_id const& target);
@@ -42,6 +48,9 @@
     void on_proof(call const& running);
     bool is_blocked(call::request_context const& request,
                     base::time_point now) const;
+    /// Whether the request may be sent to a target. It may be a trial of what
+    /// is in quarantine, and is marked so.
+    bool admit(call::request_context& request, base::time_point now);
 
     void add_to(routing::peer_report& report, report_group to,
                 base::duration repeat_time, base::time_point now);
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -46,7 +46,8 @@
                   peers_.board()},
       retry_budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
       quotas_{s.quota_slack_}, channels_{loop},
-      crashes_{dispatcher_,
+      crashes_{parse_peer_ip(s.callers_.ip_).value_or(routing::peer_ip{}),
+               dispatcher_,
                channels_,
                log_,
                {[this] { peers_.schedule_reports(); },
@@ -166,6 +167,7 @@
             daemons.push_back(peers_.self());
         }
     }
+    crashes_.set_fleet(daemons);
     dispatcher_.set_fleet(std::move(daemons), now);
 }
 
@@ -298,7 +300,7 @@
 {
     auto const now = net::now();
     auto const& id = context.metadata_.request_id_;
-    if (crashes_.is_blocked(context, now))
+    if (!crashes_.admit(context, now))
     {
         reject(from, 503, "quarantined", id, retry_when_quarantined);
         return false;
--- a/src/routing/crash_detector.hpp
+++ b/src/routing/crash_detector.hpp
@@ -17,6 +17,8 @@
 class crash_detector
 {
 public:
+    explicit crash_detector(peer_ip self = {}) : parts_{self} {}
+
     /// A request that was running at a target when its connection broke.
     struct broken_request
     {
--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/part_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "src/routing/part_quarantine.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <optional>
 #include <tuple>
@@ -32,6 +34,12 @@
     return closest;
 }
 
+/// Rank of a daemon for the trials of a part.
+std::uint64_t weight_of(prompt_part part, peer_ip daemon)
+{
+    return XXH64(&daemon, sizeof daemon, static_cast<std::uint64_t>(part));
+}
+
 std::uint32_t age_in_ms(base::time_point now, base::time_point at)
 {
     return static_cast<std::uint32_t>(
@@ -110,6 +118,7 @@
     if (c.at_ > r.last_crash() + quarantine_duration)
     {
         known.clear();
+        r.trials_ = 0;
     }
     auto const same = std::find_if(known.begin(), known.end(),
                                    [&](crash const& k) {
@@ -265,25 +274,68 @@
     revision_ += quarantined_ != before ? 1 : 0;
 }
 
+bool part_quarantine::does_block(prompt_part part, id_digest pool,
+                                 base::time_point now) const
+{
+    if (!quarantined_.contains(part))
+    {
+        return false;
+    }
+    auto const& r = records_.at(part);
+    auto const runs_well =
+        proved_at(part, pool) > now - quarantine_duration &&
+        std::none_of(r.crashes_.begin(), r.crashes_.end(),
+                     [&](crash const& c)
+                     { return c.pool_ == pool && is_open(part, c); });
+    return now - r.last_crash() < quarantine_duration && !runs_well;
+}
+
 bool part_quarantine::is_blocked(id_digest pool, prompt_parts const& parts,
                                  base::time_point now) const
 {
-    auto const crashes_targets = [&](prompt_part part)
+    return !quarantined_.empty() &&
+           std::any_of(parts.begin(), parts.end(),
+                       [&](prompt_part part)
+                       { return does_block(part, pool, now); });
+}
+
+bool part_quarantine::may_try(prompt_part part, base::time_point now) const
+{
+    auto const& r = records_.at(part);
+    if (r.trials_ >= trial_delays.size() ||
+        now < std::max(r.last_crash(), r.last_trial_) +
+                  trial_delays.at(r.trials_))
     {
-        if (!quarantined_.contains(part))
+        return false;
+    }
+    auto const chosen =
+        std::max_element(daemons_.begin(), daemons_.end(),
+                         [&](peer_ip a, peer_ip b)
+                         { return weight_of(part, a) < weight_of(part, b); });
+    return chosen != daemons_.end() && *chosen == self_;
+}
+
+bool part_quarantine::take_trial(id_digest pool, prompt_parts const& parts,
+                                 base::time_point now)
+{
+    auto const is_free = [&](prompt_part part)
+    {
+        return !does_block(part, pool, now) || may_try(part, now);
+    };
+    if (!std::all_of(parts.begin(), parts.end(), is_free))
+    {
+        return false;
+    }
+    for (auto const part : parts)
+    {
+        if (does_block(part, pool, now))
         {
-            return false;
+            auto& r = records_.at(part);
+            ++r.trials_;
+            r.last_trial_ = now;
         }
-        auto const& r = records_.at(part);
-        auto const runs_well =
-            proved_at(part, pool) > now - quarantine_duration &&
-            std::none_of(r.crashes_.begin(), r.crashes_.end(),
-                         [&](crash const& c)
-                         { return c.pool_ == pool && is_open(part, c); });
-        return now - r.last_crash() < quarantine_duration && !runs_well;
-    };
-    return !quarantined_.empty() &&
-           std::any_of(parts.begin(), parts.end(), crashes_targets);
+    }
+    return true;
 }
 
 prompt_parts part_quarantine::quarantined(base::time_point now) const
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/part_quarantine.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "src/base/units.hpp"
+#include "src/routing/peer_ip.hpp"
 #include "src/routing/prompt_part.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
 #include <vector>
 
 namespace tanagerlead::routing
@@ -25,6 +27,11 @@
 /// say nothing about the other suspects, so the parts that it shared requests
 /// with are not blamed for them.
 ///
+/// A part may be blamed wrongly, if no request with it ran to its end between
+/// failures of targets for other reasons. So one daemon, chosen by rendezvous
+/// hashing, lets one request with it through after each of the `trial_delays`.
+/// The quarantine ends if that request runs well.
+///
 /// The verdict depends on the evidence alone and not on the order in which it
 /// arrives, so daemons that have heard the same agree. Evidence may arrive late
 /// and several times.
@@ -39,11 +46,22 @@
     /// A quarantine lasts for this long after the last crash.
     static constexpr base::duration quarantine_duration =
         std::chrono::minutes{10};
+    /// Time from a crash to the first trial, and from a trial to the next one.
+    static constexpr std::array<base::duration, 2> trial_delays{
+        std::chrono::seconds{5}, std::chrono::seconds{60}};
     /// New evidence is repeated in reports for at least this long.
     static constexpr base::duration news_time = std::chrono::seconds{3};
     static constexpr std::size_t max_parts = 1024;
     static constexpr std::size_t max_proved_parts = 4096;
 
+    explicit part_quarantine(peer_ip self = {}) : self_{self} {}
+
+    /// The daemons that may be chosen for trials, this one included if it may.
+    void set_fleet(std::vector<peer_ip> daemons)
+    {
+        daemons_ = std::move(daemons);
+    }
+
     /// This daemon's request was in flight when `target` crashed at `at`.
     void on_crash(id_digest target, id_digest pool, std::uint32_t request,
                   prompt_parts const& parts, base::time_point at);
@@ -59,6 +77,10 @@
     /// unless it has run well there.
     bool is_blocked(id_digest pool, prompt_parts const& parts,
                     base::time_point now) const;
+    /// Whether a blocked request may be sent once as a trial of the parts that
+    /// block it, which uses the trial up.
+    bool take_trial(id_digest pool, prompt_parts const& parts,
+                    base::time_point now);
     /// Parts in quarantine, in ascending order.
     prompt_parts quarantined(base::time_point now) const;
     /// Changes whenever `quarantined` does, other than by time.
@@ -99,6 +121,8 @@
         std::uint8_t place_ = 0;
         /// When another daemon last named it a suspect.
         base::time_point reported_at_{};
+        std::size_t trials_ = 0;
+        base::time_point last_trial_ = base::time_point::min();
 
         base::time_point last_crash() const;
     };
@@ -134,9 +158,14 @@
     {
         return c.at_ > proved_at(part, c.pool_);
     }
+    bool does_block(prompt_part part, id_digest pool,
+                    base::time_point now) const;
+    bool may_try(prompt_part part, base::time_point now) const;
     weight weigh(entry const& suspect) const;
     void judge();
 
+    peer_ip self_;
+    std::vector<peer_ip> daemons_;
     absl::flat_hash_map<prompt_part, record> records_;
     absl::flat_hash_map<prompt_part, std::vector<proof>> proofs_;
     absl::flat_hash_set<prompt_part> quarantined_;
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/base/units.hpp"
+#include "src/routing/peer_ip.hpp"
 #include "src/routing/peer_report.hpp"
 #include "src/routing/store_follower.hpp"
 
@@ -12,11 +13,6 @@
 namespace tanagerlead::routing
 {
 
-/// IPv4 number of another daemon.
-enum class peer_ip : std::uint32_t
-{
-};
-
 /// The last report of each other daemon, and which daemons are alive.
 class peer_table
 {
--- a/tests/routing/part_quarantine_test.cpp
+++ b/tests/routing/part_quarantine_test.cpp
@@ -166,6 +166,38 @@
     CHECK(!is_blocked(bad, 3s));
 }
 
+TEST(part_quarantine, one_daemon_tries_a_quarantined_part_now_and_then)
+{
+    std::vector<peer_ip> const fleet{peer_ip{1}, peer_ip{2}, peer_ip{3}};
+    std::vector<part_quarantine> daemons;
+    for (auto const ip : fleet)
+    {
+        daemons.emplace_back(ip);
+    }
+    for (auto when : {0s, 1s, 2s})
+    {
+        crash({greeting, bad}, when);
+    }
+    for (auto& each : daemons)
+    {
+        each.set_fleet(fleet);
+        report_to(each, 2s);
+    }
+    std::vector<base::time_point> trials;
+    for (auto now = at(2s); now < at(8min); now += 1s)
+    {
+        for (auto& each : daemons)
+        {
+            CHECK(each.is_blocked(engines, {greeting, bad}, now));
+            if (each.take_trial(engines, {greeting, bad}, now))
+            {
+                trials.push_back(now);
+            }
+        }
+    }
+    CHECK(trials == (std::vector{at(7s), at(67s)}));
+}
+
 TEST(part_quarantine, ends_a_quarantine_after_ten_minutes_without_a_crash)
 {
     for (auto when : {0s, 1s, 2s})
--- a/tests/routing/simulated_crashes.cpp
+++ b/tests/routing/simulated_crashes.cpp
@@ -51,7 +51,18 @@
 
 void simulated_crashes::start(daemon& d)
 {
-    d.parts_ = std::make_unique<part_quarantine>();
+    auto const ip_of = [this](daemon const& each)
+    {
+        return peer_ip{
+            static_cast<std::uint32_t>(500 + (&each - &daemons_[0]))};
+    };
+    d.parts_ = std::make_unique<part_quarantine>(ip_of(d));
+    std::vector<peer_ip> fleet;
+    for (auto const& each : daemons_)
+    {
+        fleet.push_back(ip_of(each));
+    }
+    d.parts_->set_fleet(std::move(fleet));
     d.schedule_ = {};
     ++d.life_;
 }
@@ -116,7 +127,10 @@
     {
         return;
     }
-    if (d.parts_->is_blocked(pool, r.parts_, now_))
+    auto const is_admitted =
+        !d.parts_->is_blocked(pool, r.parts_, now_) ||
+        (r.attempts_ == 1 && d.parts_->take_trial(pool, r.parts_, now_));
+    if (!is_admitted)
     {
         sound_refused_ += r.bad_ ? 0 : 1;
         return;
