--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -29,7 +29,6 @@
 constexpr std::size_t max_answer_bytes = 16 << 20;
 /// A target that a request crashes ends soon after the first event.
 constexpr base::duration time_to_prove = 1s;
-constexpr base::duration retry_when_quarantined = 60s;
 constexpr std::string_view event_stream_type = "text/event-stream";
 
 bool ends_inside_event(net::http_response const& answer)
@@ -197,14 +196,14 @@
 
 void call::refuse_quarantined()
 {
-    if (progress_.answer_started_ || progress_.may_have_run_)
+    auto const verdict =
+        routing::decide_without_retry(attempt_failure::broken, progress_);
+    if (verdict == retry_decision::refuse)
     {
-        apply_verdict(progress_.answer_started_ ? retry_decision::truncate
-                                                : retry_decision::fail,
-                      "quarantined");
+        answer_locally(503, "quarantined", retry_when_quarantined);
         return;
     }
-    answer_locally(503, "quarantined", retry_when_quarantined);
+    apply_verdict(verdict, "quarantined");
 }
 
 // A request that is already at a target is withdrawn before it can crash it.
@@ -433,8 +432,8 @@
         (end == net::answer_end::close && attempt_event_count_ == 0);
     if (is_broken)
     {
-        log_broken_stream(end);
-        on_broken("stream ended inside an event");
+        log_early_end(end);
+        on_broken("stream ended early");
         return;
     }
     if (attempt_event_count_ > 0)
@@ -456,11 +455,11 @@
     finish(call_outcome::complete, "");
 }
 
-void call::log_broken_stream(net::answer_end end) const
+void call::log_early_end(net::answer_end end) const
 {
     delegate_.log().write(
         log_category::attempt,
-        log_line{"Stream ended inside an event."}
+        log_line{"Stream ended early."}
             .with("request", context_.metadata_.request_id_)
             .with("target", target_.id_.str())
             .with("ended_by", net::to_string(end))
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -76,6 +76,10 @@
                    public std::enable_shared_from_this<call>
 {
 public:
+    /// `Retry-After` of requests in quarantine.
+    static constexpr base::duration retry_when_quarantined =
+        std::chrono::seconds{60};
+
     struct request_context
     {
         base::request_id id_;
@@ -152,7 +156,7 @@
     void arm_stall_timer();
     void on_whole_answer();
     void finish_stream(net::answer_end end);
-    void log_broken_stream(net::answer_end end) const;
+    void log_early_end(net::answer_end end) const;
     void fail(routing::attempt_failure failure, std::string const& detail);
     void apply_verdict(routing::retry_decision verdict,
                        std::string const& cause);
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -23,7 +23,6 @@
 /// Short, since a caller can retry at another daemon that has a configuration.
 constexpr base::duration retry_when_starting = 300ms;
 constexpr base::duration retry_when_shutting_down = 50ms;
-constexpr base::duration retry_when_quarantined = 60s;
 /// Reports arrive more often than daemons become silent.
 constexpr base::duration heard_check_interval = 20ms;
 /// How long a change of the registry is named in reports. By then each daemon
@@ -302,7 +301,7 @@
     auto const& id = context.metadata_.request_id_;
     if (!crashes_.admit(context, now))
     {
-        reject(from, 503, "quarantined", id, retry_when_quarantined);
+        reject(from, 503, "quarantined", id, call::retry_when_quarantined);
         return false;
     }
     if (context.workspace_ == nullptr)
