Suspects that cannot be blamed cost no new verdict

When many targets fail at once, each daemon hears of thousands of suspects, and each of them made part_quarantine weigh all the others. It does so now only if the new crash alone would be enough for its part, or the part is in quarantine. Reports without news no longer look through all records. From reading; the cost was not measured.

--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/part_quarantine.cpp
@@ -99,6 +99,7 @@
     add(c.part_, c.place_,
         {c.target_, c.pool_, c.request_, time_before(now, c.age_ms_), false});
     records_.at(c.part_).reported_at_ = now;
+    newest_report_ = now;
 }
 
 void part_quarantine::on_reported(part_proof const& p, base::time_point now)
@@ -138,7 +139,13 @@
     {
         known.erase(find_closest(known));
     }
-    judge();
+    newest_crash_ = std::max(newest_crash_, c.at_);
+    // Failures of many targets bring many suspects, nearly all of them sound.
+    if (quarantined_.contains(part) ||
+        weigh(*records_.find(part), {}).is_enough())
+    {
+        judge();
+    }
 }
 
 void part_quarantine::add(prompt_part part, proof const& p)
@@ -205,7 +212,9 @@
                    { return each.second.back().at_ <= *middle; });
 }
 
-part_quarantine::weight part_quarantine::weigh(entry const& suspect) const
+part_quarantine::weight
+part_quarantine::weigh(entry const& suspect,
+                       absl::flat_hash_set<id_digest> const& explained) const
 {
     auto const& [part, r] = suspect;
     weight out;
@@ -218,7 +227,7 @@
     {
         auto const proved = proved_at(part, c.pool_);
         out.is_new_ = out.is_new_ && proved == base::time_point::min();
-        if (c.at_ <= proved || explained_.contains(c.target_))
+        if (c.at_ <= proved || explained.contains(c.target_))
         {
             continue;
         }
@@ -252,7 +261,7 @@
             {
                 continue;
             }
-            auto const found = weigh(suspect);
+            auto const found = weigh(suspect, explained_);
             if (found.is_enough() && (!worst || found > *worst))
             {
                 worst = found;
@@ -357,6 +366,11 @@
                                   bool with_quarantined) const
 {
     std::vector<part_crash> out;
+    auto const has_news = now - newest_crash_ <= max_age;
+    if (!has_news && (!with_quarantined || quarantined_.empty()))
+    {
+        return out;
+    }
     for (auto const& [part, r] : records_)
     {
         auto const repeats = with_quarantined && quarantined_.contains(part);
@@ -384,6 +398,11 @@
 part_quarantine::reported_proofs(base::time_point now) const
 {
     std::vector<part_proof> out;
+    if (now - newest_crash_ > proof_report_time &&
+        now - newest_report_ > news_time)
+    {
+        return out;
+    }
     for (auto const& [part, r] : records_)
     {
         auto const proofs = proofs_.find(part);
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/part_quarantine.hpp
@@ -161,7 +161,8 @@
     bool does_block(prompt_part part, id_digest pool,
                     base::time_point now) const;
     bool may_try(prompt_part part, base::time_point now) const;
-    weight weigh(entry const& suspect) const;
+    weight weigh(entry const& suspect,
+                 absl::flat_hash_set<id_digest> const& explained) const;
     void judge();
 
     peer_ip self_;
@@ -172,6 +173,9 @@
     /// Crashed targets whose crash a quarantined part explains.
     absl::flat_hash_set<id_digest> explained_;
     std::uint64_t revision_ = 0;
+    base::time_point newest_crash_{};
+    /// When another daemon last named a suspect.
+    base::time_point newest_report_{};
 };
 
 } // namespace tanagerlead::routing
