A trial of a quarantined part is used up only when it is sent

A trial was used up by accepting the request, which may be refused after that for its quota or for lack of a free target; two such requests and the part stayed in quarantine for ten minutes. The call asks right before it sends now. Found by reading.

crashing_part shows a trial with real sockets; part_quarantine, crashing_fleet and entry_test pass.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
-#include <utility>
 
 namespace tanagerlead::entry
 {
@@ -181,8 +180,8 @@
         return;
     }
     channel_ = std::move(opened);
-    auto const is_trial = std::exchange(context_.is_trial_, false);
-    if (!is_trial && delegate_.is_quarantined(*this))
+    auto const permission = delegate_.ask_to_send(*this);
+    if (permission == send_permission::denied)
     {
         delegate_.release_channel(target_.id_, channel_);
         channel_.reset();
@@ -190,7 +189,7 @@
         refuse_quarantined();
         return;
     }
-    is_trial_ = is_trial;
+    is_trial_ = permission == send_permission::trial;
     send();
 }
 
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -17,6 +17,17 @@
 
 class call;
 
+/// Whether a request may be sent to a target.
+enum class send_permission : std::uint8_t
+{
+    /// It is in quarantine.
+    denied,
+    granted,
+    /// It is in quarantine and sent once, to see whether it still crashes
+    /// targets.
+    trial,
+};
+
 /// Daemon functions that a call uses. All are called on the data plane's loop.
 class call_delegate
 {
@@ -46,6 +57,8 @@
     virtual void on_proof(call const& running) = 0;
     /// Whether the request must not be sent to targets, since it crashes them.
     virtual bool is_quarantined(call const& waiting) const = 0;
+    /// Asked right before the request is sent. A trial is used up by it.
+    virtual send_permission ask_to_send(call const& waiting) = 0;
     /// The connection to `target` broke while the target held this request.
     virtual void on_broken(call& running, base::target_id const& target) = 0;
     virtual routing::pool_latency& latency(base::pool_id const& pool) = 0;
@@ -97,9 +110,6 @@
         /// Units charged to the workspace's quota; refunded if the request does
         /// not run.
         double quota_units_ = 0;
-        /// It is in quarantine and let through once, to see whether it still
-        /// crashes its target.
-        bool is_trial_ = false;
     };
 
     /// `delegate` must outlive the call.
--- a/src/entry/crash_monitor.cpp
+++ b/src/entry/crash_monitor.cpp
@@ -89,17 +89,29 @@
                                        request.metadata_.shared_parts_, now);
 }
 
-bool crash_monitor::admit(call::request_context& request, base::time_point now)
+bool crash_monitor::admits(call::request_context const& request,
+                           base::time_point now) const
+{
+    return !is_blocked(request, now) ||
+           (!crashes_.blocked(request.fingerprint_, now) &&
+            crashes_.parts().may_try(routing::digest_of(request.pool_.str()),
+                                     request.metadata_.shared_parts_, now));
+}
+
+send_permission crash_monitor::ask_to_send(call::request_context const& request,
+                                           base::time_point now)
 {
     if (!is_blocked(request, now))
     {
-        return true;
+        return send_permission::granted;
+    }
+    if (!admits(request, now))
+    {
+        return send_permission::denied;
     }
-    request.is_trial_ =
-        !crashes_.blocked(request.fingerprint_, now) &&
-        crashes_.parts().take_trial(routing::digest_of(request.pool_.str()),
-                                    request.metadata_.shared_parts_, now);
-    return request.is_trial_;
+    crashes_.parts().on_trial(routing::digest_of(request.pool_.str()),
+                              request.metadata_.shared_parts_, now);
+    return send_permission::trial;
 }
 
 void crash_monitor::check_quarantine()
--- a/src/entry/crash_monitor.hpp
+++ b/src/entry/crash_monitor.hpp
@@ -48,9 +48,12 @@
     void on_proof(call const& running);
     bool is_blocked(call::request_context const& request,
                     base::time_point now) const;
-    /// Whether the request may be sent to a target. It may be a trial of what
-    /// is in quarantine, and is marked so.
-    bool admit(call::request_context& request, base::time_point now);
+    /// Whether the request may be accepted, since it may be sent by now.
+    bool admits(call::request_context const& request,
+                base::time_point now) const;
+    /// Asked right before the request is sent.
+    send_permission ask_to_send(call::request_context const& request,
+                                base::time_point now);
 
     void add_to(routing::peer_report& report, report_group to,
                 base::duration repeat_time, base::time_point now);
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -299,7 +299,7 @@
 {
     auto const now = net::now();
     auto const& id = context.metadata_.request_id_;
-    if (!crashes_.admit(context, now))
+    if (!crashes_.admits(context, now))
     {
         reject(from, 503, "quarantined", id, call::retry_when_quarantined);
         return false;
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -82,6 +82,10 @@
     {
         return crashes_.is_blocked(waiting.context(), net::now());
     }
+    send_permission ask_to_send(call const& waiting) override
+    {
+        return crashes_.ask_to_send(waiting.context(), net::now());
+    }
     void on_broken(call& running, base::target_id const& target) override
     {
         crashes_.on_broken(running, target);
--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/part_quarantine.cpp
@@ -324,17 +324,19 @@
     return chosen != daemons_.end() && *chosen == self_;
 }
 
-bool part_quarantine::take_trial(id_digest pool, prompt_parts const& parts,
-                                 base::time_point now)
+bool part_quarantine::may_try(id_digest pool, prompt_parts const& parts,
+                              base::time_point now) const
+{
+    return std::all_of(parts.begin(), parts.end(),
+                       [&](prompt_part part) {
+                           return !does_block(part, pool, now) ||
+                                  may_try(part, now);
+                       });
+}
+
+void part_quarantine::on_trial(id_digest pool, prompt_parts const& parts,
+                               base::time_point now)
 {
-    auto const is_free = [&](prompt_part part)
-    {
-        return !does_block(part, pool, now) || may_try(part, now);
-    };
-    if (!std::all_of(parts.begin(), parts.end(), is_free))
-    {
-        return false;
-    }
     for (auto const part : parts)
     {
         if (does_block(part, pool, now))
@@ -344,7 +346,6 @@
             r.last_trial_ = now;
         }
     }
-    return true;
 }
 
 prompt_parts part_quarantine::quarantined(base::time_point now) const
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/part_quarantine.hpp
@@ -77,10 +77,13 @@
     /// unless it has run well there.
     bool is_blocked(id_digest pool, prompt_parts const& parts,
                     base::time_point now) const;
-    /// Whether a blocked request may be sent once as a trial of the parts that
-    /// block it, which uses the trial up.
-    bool take_trial(id_digest pool, prompt_parts const& parts,
-                    base::time_point now);
+    /// Whether a blocked request may be sent now, as a trial of the parts that
+    /// block it.
+    bool may_try(id_digest pool, prompt_parts const& parts,
+                 base::time_point now) const;
+    /// It is sent, which uses the trial up.
+    void on_trial(id_digest pool, prompt_parts const& parts,
+                  base::time_point now);
     /// Parts in quarantine, in ascending order.
     prompt_parts quarantined(base::time_point now) const;
     /// Changes whenever `quarantined` does, other than by time.
--- a/tests/entry/crashing_part_test.cpp
+++ b/tests/entry/crashing_part_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <atomic>
 
 using namespace tanagerlead;
 using namespace tanagerlead::test;
@@ -18,10 +19,13 @@
 /// Crashes that are further apart are no failure of several targets at once.
 constexpr auto time_between_crashes = 300ms;
 
+std::atomic<bool> is_bad{true};
+
 std::vector<step> answer_or_crash(std::string const& request)
 {
-    if (header_value(request, "Tanagerlead-Prompt-Prefix").find("bad:") !=
-        std::string::npos)
+    if (is_bad &&
+        header_value(request, "Tanagerlead-Prompt-Prefix").find("bad:") !=
+            std::string::npos)
     {
         return {{action::crash, ""}};
     }
@@ -38,6 +42,7 @@
 
     void setup() override
     {
+        is_bad = true;
         entry_.configure();
         for (std::size_t i = 0; i < target_count; ++i)
         {
@@ -116,6 +121,21 @@
     }
 }
 
+TEST(crashing_part, is_tried_after_a_while_and_released_if_it_runs_well)
+{
+    for (std::size_t i = 0; crashes() < 3; ++i)
+    {
+        send("a1:50,bad:20,c" + std::to_string(i) + ":9");
+        show_targets();
+        std::this_thread::sleep_for(time_between_crashes);
+    }
+    STRCMP_EQUAL("HTTP/1.1 503", send("a1:50,bad:20,d0:9").c_str());
+    is_bad = false;
+    std::this_thread::sleep_for(routing::part_quarantine::trial_delays.front());
+    STRCMP_EQUAL("HTTP/1.1 200", send("a1:50,bad:20,d1:9").c_str());
+    STRCMP_EQUAL("HTTP/1.1 200", send("a1:50,bad:20,d2:9").c_str());
+}
+
 TEST(crashing_part, the_part_of_a_request_alone_is_not_shared)
 {
     for (std::size_t i = 0; i < target_count / 2; ++i)
--- a/tests/routing/part_quarantine_test.cpp
+++ b/tests/routing/part_quarantine_test.cpp
@@ -189,8 +189,9 @@
         for (auto& each : daemons)
         {
             CHECK(each.is_blocked(engines, {greeting, bad}, now));
-            if (each.take_trial(engines, {greeting, bad}, now))
+            if (each.may_try(engines, {greeting, bad}, now))
             {
+                each.on_trial(engines, {greeting, bad}, now);
                 trials.push_back(now);
             }
         }
--- a/tests/routing/simulated_crashes.cpp
+++ b/tests/routing/simulated_crashes.cpp
@@ -127,10 +127,8 @@
     {
         return;
     }
-    auto const is_admitted =
-        !d.parts_->is_blocked(pool, r.parts_, now_) ||
-        (r.attempts_ == 1 && d.parts_->take_trial(pool, r.parts_, now_));
-    if (!is_admitted)
+    auto const is_trial = d.parts_->is_blocked(pool, r.parts_, now_);
+    if (is_trial && !d.parts_->may_try(pool, r.parts_, now_))
     {
         sound_refused_ += r.bad_ ? 0 : 1;
         return;
@@ -147,6 +145,10 @@
     {
         return;
     }
+    if (is_trial)
+    {
+        d.parts_->on_trial(pool, r.parts_, now_);
+    }
     if (r.bad_)
     {
         auto& bad = bad_parts_[*r.bad_];
