Bounds: 64 parts in quarantine, no evidence older than a quarantine

With a thousand bad parts a verdict took 25 ms on this machine, for each new crash, and a quarantined part could be evicted while its id stayed in the set of blocked ones, which the next look-up would not have survived. Reports could name crashes of any age. Both found by reading and by the tests that come with this.

--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/part_quarantine.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 #include <optional>
 #include <tuple>
 
@@ -96,8 +97,12 @@
 
 void part_quarantine::on_reported(part_crash const& c, base::time_point now)
 {
-    add(c.part_, c.place_,
-        {c.target_, c.pool_, c.request_, time_before(now, c.age_ms_), false});
+    auto const at = time_before(now, c.age_ms_);
+    if (now - at >= quarantine_duration)
+    {
+        return;
+    }
+    add(c.part_, c.place_, {c.target_, c.pool_, c.request_, at, false});
     records_.at(c.part_).reported_at_ = now;
     newest_report_ = now;
 }
@@ -187,9 +192,12 @@
         return std::tuple{quarantined_.contains(e.first), e.second.last_crash(),
                           e.first};
     };
-    records_.erase(std::min_element(records_.begin(), records_.end(),
-                                    [&](entry const& a, entry const& b)
-                                    { return age_rank(a) < age_rank(b); }));
+    auto const oldest = std::min_element(records_.begin(), records_.end(),
+                                         [&](entry const& a, entry const& b)
+                                         { return age_rank(a) < age_rank(b); });
+    static_assert(max_quarantined < max_parts);
+    assert(!quarantined_.contains(oldest->first));
+    records_.erase(oldest);
 }
 
 // Drops the older half, so that most calls have nothing to do.
@@ -252,7 +260,7 @@
     auto const before = quarantined_;
     quarantined_.clear();
     explained_.clear();
-    while (true)
+    while (quarantined_.size() < max_quarantined)
     {
         std::optional<weight> worst;
         for (auto const& suspect : records_)
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/part_quarantine.hpp
@@ -52,6 +52,7 @@
     /// New evidence is repeated in reports for at least this long.
     static constexpr base::duration news_time = std::chrono::seconds{3};
     static constexpr std::size_t max_parts = 1024;
+    static constexpr std::size_t max_quarantined = 64;
     static constexpr std::size_t max_proved_parts = 4096;
 
     explicit part_quarantine(peer_ip self = {}) : self_{self} {}
--- a/tests/routing/part_quarantine_test.cpp
+++ b/tests/routing/part_quarantine_test.cpp
@@ -261,3 +261,28 @@
     CHECK(parts_.reported_crashes(at(1h), part_quarantine::news_time, true)
               .empty());
 }
+
+TEST(part_quarantine, bounds_the_number_of_parts_in_quarantine)
+{
+    constexpr std::uint64_t count = part_quarantine::max_quarantined + 10;
+    for (std::uint64_t i = 0; i < count; ++i)
+    {
+        for (auto when : {0s, 1s, 2s})
+        {
+            crash({prompt_part{1000 + i}}, when);
+        }
+    }
+    LONGS_EQUAL(part_quarantine::max_quarantined,
+                parts_.quarantined(at(3s)).size());
+}
+
+TEST(part_quarantine, ignores_evidence_that_is_too_old)
+{
+    for (std::uint32_t i = 0; i < 3; ++i)
+    {
+        parts_.on_reported(
+            part_crash{bad, i, id_digest{i}, engines, 0, 700'000 - 1000 * i},
+            at(1h));
+    }
+    CHECK(!is_blocked(bad, 1h));
+}
