One rendezvous hash, and the pool's digest once a request

From the last reading of the change: part_quarantine wrote the rendezvous hash of target_limits and working_set a third time, a request hashed the name of its pool at its admission, before each send and at each proof, ask_to_send asked twice whether the request is blocked, and two functions of part_quarantine had one name. Ranks are the same numbers, so shares and working sets do not move.

--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -104,6 +104,7 @@
         /// Null for an anonymous caller.
         routing::workspace const* workspace_ = nullptr;
         base::pool_id pool_;
+        routing::id_digest pool_digest_{};
         base::tier tier_{};
         double relative_rank_ = 0;
         std::uint64_t fingerprint_ = 0;
--- a/src/entry/crash_monitor.cpp
+++ b/src/entry/crash_monitor.cpp
@@ -22,11 +22,11 @@
     auto const* const info = dispatcher_.find(target);
     auto const leaves = info != nullptr && info->draining_;
     auto const& context = running.context();
-    crashes_.on_broken(
-        {context.fingerprint_, target, routing::digest_of(context.pool_.str()),
-         running.has_run_well() || leaves ? routing::prompt_parts{}
-                                          : context.metadata_.shared_parts_},
-        net::now());
+    crashes_.on_broken({context.fingerprint_, target, context.pool_digest_,
+                        running.has_run_well() || leaves
+                            ? routing::prompt_parts{}
+                            : context.metadata_.shared_parts_},
+                       net::now());
     if (info == nullptr || !probing_.insert(target).second)
     {
         return;
@@ -75,7 +75,7 @@
     auto const& context = running.context();
     if (!context.metadata_.shared_parts_.empty())
     {
-        crashes_.parts().on_proof(routing::digest_of(context.pool_.str()),
+        crashes_.parts().on_proof(context.pool_digest_,
                                   context.metadata_.shared_parts_, net::now());
         check_quarantine();
     }
@@ -85,17 +85,22 @@
                                base::time_point now) const
 {
     return crashes_.blocked(request.fingerprint_, now) ||
-           crashes_.parts().is_blocked(routing::digest_of(request.pool_.str()),
+           crashes_.parts().is_blocked(request.pool_digest_,
                                        request.metadata_.shared_parts_, now);
 }
 
+bool crash_monitor::may_try(call::request_context const& request,
+                            base::time_point now) const
+{
+    return !crashes_.blocked(request.fingerprint_, now) &&
+           crashes_.parts().may_try(request.pool_digest_,
+                                    request.metadata_.shared_parts_, now);
+}
+
 bool crash_monitor::admits(call::request_context const& request,
                            base::time_point now) const
 {
-    return !is_blocked(request, now) ||
-           (!crashes_.blocked(request.fingerprint_, now) &&
-            crashes_.parts().may_try(routing::digest_of(request.pool_.str()),
-                                     request.metadata_.shared_parts_, now));
+    return !is_blocked(request, now) || may_try(request, now);
 }
 
 send_permission crash_monitor::ask_to_send(call::request_context const& request,
@@ -105,11 +110,11 @@
     {
         return send_permission::granted;
     }
-    if (!admits(request, now))
+    if (!may_try(request, now))
     {
         return send_permission::denied;
     }
-    crashes_.parts().on_trial(routing::digest_of(request.pool_.str()),
+    crashes_.parts().on_trial(request.pool_digest_,
                               request.metadata_.shared_parts_, now);
     return send_permission::trial;
 }
--- a/src/entry/crash_monitor.hpp
+++ b/src/entry/crash_monitor.hpp
@@ -61,6 +61,8 @@
     std::size_t quarantined_parts(base::time_point now) const;
 
 private:
+    bool may_try(call::request_context const& request,
+                 base::time_point now) const;
     void check_quarantine();
 
     routing::dispatcher& dispatcher_;
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -277,6 +277,7 @@
     context.route_ = found.route_;
     context.workspace_ = found.workspace_;
     context.pool_ = choose_pool(*found.route_, random_);
+    context.pool_digest_ = routing::digest_of(context.pool_.str());
     context.tier_ = found.tier_;
     context.relative_rank_ = found.relative_rank_;
     context.fingerprint_ = fingerprint_of(
--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/part_quarantine.cpp
@@ -1,7 +1,5 @@
 #include "src/routing/part_quarantine.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cassert>
 #include <optional>
@@ -38,7 +36,7 @@
 /// Rank of a daemon for the trials of a part.
 std::uint64_t weight_of(prompt_part part, peer_ip daemon)
 {
-    return XXH64(&daemon, sizeof daemon, static_cast<std::uint64_t>(part));
+    return rendezvous_rank(daemon, static_cast<std::uint64_t>(part));
 }
 
 std::uint32_t age_in_ms(base::time_point now, base::time_point at)
@@ -316,7 +314,7 @@
                        { return does_block(part, pool, now); });
 }
 
-bool part_quarantine::may_try(prompt_part part, base::time_point now) const
+bool part_quarantine::is_trial_due(prompt_part part, base::time_point now) const
 {
     auto const& r = records_.at(part);
     if (r.trials_ >= trial_delays.size() ||
@@ -338,7 +336,7 @@
     return std::all_of(parts.begin(), parts.end(),
                        [&](prompt_part part) {
                            return !does_block(part, pool, now) ||
-                                  may_try(part, now);
+                                  is_trial_due(part, now);
                        });
 }
 
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/part_quarantine.hpp
@@ -164,7 +164,8 @@
     }
     bool does_block(prompt_part part, id_digest pool,
                     base::time_point now) const;
-    bool may_try(prompt_part part, base::time_point now) const;
+    /// This daemon may let a request with the part through.
+    bool is_trial_due(prompt_part part, base::time_point now) const;
     weight weigh(entry const& suspect,
                  absl::flat_hash_set<id_digest> const& explained) const;
     void judge();
--- a/src/routing/target_limits.cpp
+++ b/src/routing/target_limits.cpp
@@ -2,8 +2,6 @@
 
 #include "src/routing/report_turn.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -18,8 +16,7 @@
 /// Orders the daemons differently for each target.
 std::uint64_t weight_of(incarnation_digest target, peer_ip daemon)
 {
-    auto const number = static_cast<std::uint32_t>(daemon);
-    return XXH64(&number, sizeof number, static_cast<std::uint64_t>(target));
+    return rendezvous_rank(daemon, static_cast<std::uint64_t>(target));
 }
 
 } // namespace
--- a/src/routing/working_set.cpp
+++ b/src/routing/working_set.cpp
@@ -1,7 +1,5 @@
 #include "src/routing/working_set.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace tanagerlead::routing
@@ -13,8 +11,7 @@
 /// Spreads the working set over the addresses of a data centre.
 std::uint64_t rank_of(peer_ip daemon)
 {
-    auto const number = static_cast<std::uint32_t>(daemon);
-    return XXH64(&number, sizeof number, 0);
+    return rendezvous_rank(daemon, 0);
 }
 
 bool is_recent(base::time_point event, base::duration limit,
