Logs name the version of the target and the stream that a caller takes up

The incident's logs could not tell hypothesis 1 (a stream resumed inside one answer at another version) from 2 (a caller that takes up its stream at another daemon): they held neither versions nor the attempt that a request resumes. The registry entry's Version and the Resumes field are read now, and the line of an ended request has version, resumes and after_event. A target whose version changes counts as a new incarnation. Nothing is decided by them yet.

--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -48,6 +48,8 @@
 /// A model or a plain service; requests name the pool they want.
 using pool_id = name_id<struct pool_tag>;
 using host_id = name_id<struct host_tag>;
+/// Version of the software that a target runs. Versions have no order.
+using software_version = name_id<struct software_version_tag>;
 using data_centre_id = name_id<struct data_centre_tag>;
 /// A daemon by its configured name; stays the same across restarts.
 using daemon_id = name_id<struct daemon_tag>;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -129,6 +129,7 @@
     base::time_point received() const { return received_; }
     base::time_point deadline() const { return deadline_; }
     base::target_id const& target() const { return target_.id_; }
+    base::software_version const& version() const { return target_.version_; }
     std::optional<base::time_point> first_byte_at() const
     {
         return first_byte_at_;
--- a/src/entry/call_log.cpp
+++ b/src/entry/call_log.cpp
@@ -21,6 +21,7 @@
         .with("status", finished.status())
         .with("cause", cause)
         .with("target", finished.target().str())
+        .with("version", finished.version().str())
         .with("attempts", finished.progress().attempts_)
         .with("failed_connects", finished.progress().failed_connects_);
     if (finished.progress().attempts_ > 0)
@@ -28,6 +29,11 @@
         line.with_ms("waited_ms",
                      finished.first_sent_at() - finished.received());
     }
+    if (auto const& begun = context.metadata_.last_event_)
+    {
+        line.with("resumes", context.metadata_.resumed_attempt_)
+            .with("after_event", static_cast<std::int64_t>(*begun));
+    }
     line.with_ms("first_ms", first)
         .with_ms("total_ms", now - finished.received())
         .with("config",
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -32,6 +32,9 @@
     routing::prompt_parts shared_parts_;
     /// Last event that the caller has received.
     std::optional<std::uint64_t> last_event_;
+    /// The attempt of the caller that brought the first event of this stream;
+    /// empty if the request does not resume one.
+    std::string resumed_attempt_;
 };
 
 /// Data that the daemon adds to a forwarded request.
--- a/src/routing/target_info.hpp
+++ b/src/routing/target_info.hpp
@@ -32,15 +32,18 @@
     /// It is shutting down and takes no new work.
     bool draining_ = false;
     target_incarnation incarnation_{};
+    /// Empty: unknown.
+    base::software_version version_;
 
     bool operator==(target_info const&) const = default;
 
     /// Whether state kept about the other also holds for this one. A target may
-    /// restart under the same id, also at another address.
+    /// restart under the same id, also at another address or with another
+    /// version.
     bool is_same_incarnation(target_info const& other) const
     {
         return id_ == other.id_ && incarnation_ == other.incarnation_ &&
-               address_ == other.address_;
+               address_ == other.address_ && version_ == other.version_;
     }
 };
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -148,6 +148,23 @@
     CHECK(t.incarnation_ == routing::target_incarnation{1733180000000});
 }
 
+TEST(documents, reads_the_software_version_of_a_target)
+{
+    auto const version_in = [](std::string const& field)
+    {
+        auto const read = parse_target(
+            base::target_id{"i-1"},
+            R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":6,
+               "State":"ready")" +
+                field + "}");
+        CHECK(read.has_value());
+        return read.value().version_.str();
+    };
+    STRCMP_EQUAL("v1.2", version_in(R"(,"Version":"v1.2")").c_str());
+    STRCMP_EQUAL("", version_in("").c_str());
+    STRCMP_EQUAL("", version_in(R"(,"Version":1.2)").c_str());
+}
+
 TEST(documents, rejects_malformed_registry_entries)
 {
     for (auto const& bad : bad_entries)
--- a/tests/platform/wire_protocol_test.cpp
+++ b/tests/platform/wire_protocol_test.cpp
@@ -144,6 +144,18 @@
           protocol_.read_request_metadata(b).value().affinity_);
 }
 
+TEST(wire_protocol, reads_which_attempt_a_caller_takes_up)
+{
+    auto headers = caller_headers();
+    STRCMP_EQUAL("", protocol_.read_request_metadata(headers)
+                         .value()
+                         .resumed_attempt_.c_str());
+    headers.add("Resumes", "77ab");
+    STRCMP_EQUAL("77ab", protocol_.read_request_metadata(headers)
+                             .value()
+                             .resumed_attempt_.c_str());
+}
+
 TEST(wire_protocol, replaces_system_headers_when_forwarding)
 {
     entry::forward_metadata marks;
