A stream goes on only at the software version that began it

Cause: nothing read the version of a target. A stream that broke off was resumed at any target of the pool, and one that a caller took up at another daemon was scheduled like a new one; that daemon cannot know the version by itself. Class: a resumption bound to the pool, where it depends on the process that began it.

Now a resumption is bound. In the dispatcher it waits in a lane of the targets of its version, so that it neither goes elsewhere nor delays requests that any target may run. Across daemons, stream_origins keeps the version of each attempt for a minute, copies it to four other daemons (rendezvous hashing, every 100 ms) and asks all daemons, with doubled pauses for 1.3 s, if it is unknown. What nobody knows is answered 503, cause unknown_version.

A registry entry can be out of date: a target may restart under its id with another version. target_versions counts a connection as proof of the entry's version only once a restart before it would have been published, 1 s after it was opened, or never if the registry was lost meanwhile. The price: a resumption over a new connection starts up to a second late.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t max_answer_bytes = 16 << 20;
 /// A target that a request crashes ends soon after the first event.
 constexpr base::duration time_to_prove = 1s;
+/// Callers leave a stream after a longer pause.
+constexpr base::duration max_stream_pause = 1800ms;
+/// Another daemon may know what this one cannot find out.
+constexpr base::duration retry_elsewhere = 100ms;
 constexpr std::string_view event_stream_type = "text/event-stream";
 
 bool ends_inside_event(net::http_response const& answer)
@@ -82,6 +86,11 @@
                    {
                        on_stall_timeout();
                    }},
+      settle_timer_{delegate.loop(),
+                    [this]
+                    {
+                        on_settled();
+                    }},
       last_event_{context_.metadata_.last_event_}
 {
 }
@@ -111,10 +120,14 @@
     out.tried_ = tried_;
     out.affinity_key_ = context_.metadata_.affinity_;
     out.urgent_ = context_.relative_rank_ == 0;
-    out.answer_started_ = progress_.answer_started_;
+    out.answer_started_ = has_begun();
     if (out.answer_started_)
     {
         work.tier_ = base::tier{0};
+        if (is_stream())
+        {
+            out.version_ = version_;
+        }
     }
     return out;
 }
@@ -123,9 +136,106 @@
 {
     caller_->on_disconnect([this] { on_caller_disconnected(); });
     deadline_timer_.set(deadline_);
+    if (is_resumption())
+    {
+        delegate_.find_origin(*this);
+        return;
+    }
+    delegate_.submit(make_item());
+}
+
+void call::on_origin(std::optional<routing::version_digest> version)
+{
+    auto const self = shared_from_this();
+    if (state_ != state::waiting)
+    {
+        return;
+    }
+    if (version.value_or(routing::unknown_version) == routing::unknown_version)
+    {
+        answer_locally(503, "unknown_version", retry_elsewhere);
+        return;
+    }
+    version_ = *version;
+    auto const* const pool = delegate_.pool_of(version_);
+    if (pool == nullptr || !context_.route_->has_pool(*pool))
+    {
+        answer_locally(503, "no_target_of_version",
+                       delegate_.retry_after(*this));
+        return;
+    }
+    context_.pool_ = *pool;
+    context_.pool_digest_ = routing::digest_of(pool->str());
     delegate_.submit(make_item());
 }
 
+void call::submit()
+{
+    if (is_bound() && !find_version())
+    {
+        apply_verdict(retry_decision::truncate, "unknown_version");
+        return;
+    }
+    delegate_.submit(make_item());
+}
+
+routing::version_finding call::version_of_stream() const
+{
+    return is_resumption()
+               ? routing::version_finding{version_, {}}
+               : delegate_.version_of(first_target_, first_connected_at_);
+}
+
+bool call::find_version()
+{
+    if (version_ == routing::unknown_version)
+    {
+        version_ = version_of_stream().version_;
+    }
+    return version_ != routing::unknown_version;
+}
+
+void call::send_to_version()
+{
+    auto const first = version_of_stream();
+    auto const next = delegate_.version_of(target_, channel_->connected_at());
+    version_ = first.version_;
+    // An empty time is before any other.
+    auto const known_from = std::max(first.known_from_, next.known_from_);
+    if (version_ == routing::unknown_version || next.version_ != version_ ||
+        known_from > net::now() + max_stream_pause)
+    {
+        try_next_target();
+    }
+    else if (known_from)
+    {
+        settle_timer_.set(*known_from);
+    }
+    else
+    {
+        send_if_permitted();
+    }
+}
+
+void call::try_next_target()
+{
+    delegate_.release_channel(target_.id_, channel_);
+    channel_.reset();
+    tried_.push_back(target_.id_);
+    end_attempt(attempt_outcome::cancelled);
+    state_ = state::waiting;
+    submit();
+}
+
+void call::on_settled()
+{
+    auto const self = shared_from_this();
+    if (state_ == state::connecting && channel_)
+    {
+        channel_->is_reusable() ? send_to_version() : try_next_target();
+    }
+}
+
 void call::on_refusal(sched::refusal_cause cause, base::duration retry_after)
 {
     auto const why = sched::to_string(cause);
@@ -180,6 +290,11 @@
         return;
     }
     channel_ = std::move(opened);
+    is_bound() ? send_to_version() : send_if_permitted();
+}
+
+void call::send_if_permitted()
+{
     auto const permission = delegate_.ask_to_send(*this);
     if (permission == send_permission::denied)
     {
@@ -376,6 +491,10 @@
         }
         attempt_last_event_at_ = now;
         ++attempt_event_count_;
+        if (!progress_.answer_started_)
+        {
+            on_first_event();
+        }
         send_to_caller(event->bytes_);
     }
     if (!is_proved_ && has_run_well())
@@ -405,6 +524,18 @@
     caller_->send_chunk(bytes);
 }
 
+void call::on_first_event()
+{
+    if (is_resumption())
+    {
+        delegate_.on_stream_resumed(*this, version_);
+        return;
+    }
+    first_target_ = target_;
+    first_connected_at_ = channel_->connected_at();
+    delegate_.on_stream_begun(*this, first_connected_at_);
+}
+
 void call::on_complete(net::answer_end end)
 {
     auto const self = shared_from_this();
@@ -549,6 +680,11 @@
     {
         return;
     }
+    if (is_bound() && !find_version())
+    {
+        stall_timer_.set_after(stall_recheck_interval);
+        return;
+    }
     // The target may still answer, so the attempt is abandoned only if another
     // target has a free slot now.
     auto const next = make_item();
@@ -614,7 +750,7 @@
     case retry_decision::reconnect:
     case retry_decision::retry:
         state_ = state::waiting;
-        delegate_.submit(make_item());
+        submit();
         return;
     case retry_decision::refuse:
         answer_locally(503, cause, delegate_.retry_after(*this));
@@ -723,6 +859,7 @@
     drop_answer_body();
     deadline_timer_.clear();
     stall_timer_.clear();
+    settle_timer_.clear();
     caller_->on_disconnect(nullptr);
     caller_->on_drained(nullptr);
     delegate_.on_call_finished(*this, outcome, cause);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -65,6 +65,23 @@
     virtual bool take_retry(base::pool_id const& pool) = 0;
     virtual base::duration retry_after(call const& refused) = 0;
 
+    /// Passes to `call::on_origin` the version that began the stream which the
+    /// caller takes up, at once or later.
+    virtual void find_origin(call& resumed) = 0;
+    /// The first event of the caller's stream has come over a connection that
+    /// was opened at `connected_at`.
+    virtual void on_stream_begun(call const& running,
+                                 base::time_point connected_at) = 0;
+    /// The first event of a stream that the caller has taken up has come.
+    virtual void on_stream_resumed(call const& running,
+                                   routing::version_digest version) = 0;
+    /// The pool with targets of this version; null if there is none.
+    virtual base::pool_id const* pool_of(routing::version_digest version) = 0;
+    /// The version of the process at the other end of a connection to `target`.
+    virtual routing::version_finding
+    version_of(routing::target_info const& target,
+               base::time_point connected_at) const = 0;
+
     virtual void acquire_channel(
         routing::target_info const& target, base::duration max_idle,
         std::function<void(std::shared_ptr<net::channel>, net::error_code)>
@@ -119,6 +136,8 @@
          request_context context);
 
     void start();
+    /// Nothing if no daemon knows the stream that the caller takes up.
+    void on_origin(std::optional<routing::version_digest> version);
     void on_grant(routing::target_info const& target);
     void on_refusal(sched::refusal_cause cause, base::duration retry_after);
     /// Other requests than before are in quarantine.
@@ -129,6 +148,7 @@
     base::time_point received() const { return received_; }
     base::time_point deadline() const { return deadline_; }
     base::target_id const& target() const { return target_.id_; }
+    routing::target_info const& target_record() const { return target_; }
     base::software_version const& version() const { return target_.version_; }
     std::optional<base::time_point> first_byte_at() const
     {
@@ -157,6 +177,7 @@
     routing::pending_call make_item() const;
     void on_channel_open(std::shared_ptr<net::channel> opened,
                          net::error_code const& error);
+    void send_if_permitted();
     void send();
     void refuse_quarantined();
     void forward_events();
@@ -177,6 +198,30 @@
                         std::optional<base::duration> retry_after);
     void finish(call_outcome outcome, std::string const& cause);
     bool is_stream() const;
+    /// The caller takes up a stream that began in an earlier attempt.
+    bool is_resumption() const
+    {
+        return is_stream() && context_.metadata_.last_event_.has_value();
+    }
+    /// The caller has events of the stream, here or from an earlier attempt.
+    bool has_begun() const
+    {
+        return progress_.answer_started_ || is_resumption();
+    }
+    /// The request may only be sent to targets of the version that began its
+    /// stream.
+    bool is_bound() const { return is_stream() && has_begun(); }
+    void submit();
+    routing::version_finding version_of_stream() const;
+    /// The version that began the stream, which may have to be confirmed. False
+    /// if it cannot be known.
+    bool find_version();
+    /// Sends a resumption once it is known that the stream began at the version
+    /// to which the connection leads.
+    void send_to_version();
+    void try_next_target();
+    void on_settled();
+    void on_first_event();
 
     call_delegate& delegate_;
     std::shared_ptr<net::caller_connection> caller_;
@@ -185,6 +230,8 @@
     base::time_point deadline_;
     net::deadline_timer deadline_timer_;
     net::deadline_timer stall_timer_;
+    /// Waits until the version at the other end of a connection is known.
+    net::deadline_timer settle_timer_;
     state state_ = state::waiting;
     routing::call_progress progress_;
     std::vector<base::target_id> tried_;
@@ -197,6 +244,12 @@
     bool is_streamed_ = false;
     routing::event_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_;
+    /// The version that began the stream.
+    routing::version_digest version_ = routing::unknown_version;
+    /// The target that brought the first event in this answer, and when the
+    /// connection to it was opened.
+    routing::target_info first_target_;
+    base::time_point first_connected_at_{};
     base::time_point attempt_sent_at_{};
     base::time_point first_sent_at_{};
     std::optional<base::time_point> first_byte_at_;
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -61,6 +61,7 @@
                             serve_configuration(from, r);
                         }}
 {
+    registry_.set_state_callback(std::move(outputs.registry_state_));
     registry_.set_listing_callback([this] { registry_watcher_.list_now(); });
     store.set_era_observer([this](store_era era) { return era_.observe(era); });
 }
--- a/src/entry/control_plane.hpp
+++ b/src/entry/control_plane.hpp
@@ -23,6 +23,10 @@
     std::function<void(routing::registry_change)> registry_changed_ =
         [](routing::registry_change) {
         };
+    /// Called with false when the registry may have changed unnoticed, and with
+    /// true when it has been read again.
+    std::function<void(bool is_current)> registry_state_ = [](bool) {
+    };
 };
 
 /// Maintains the configuration, the target registry and the list of daemons.
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -55,6 +55,12 @@
                 {
                     on_quarantine_changed();
                 }}},
+      origins_{loop, peers_,
+               [this](routing::target_info const& target,
+                      base::time_point connected_at)
+               {
+                   return version_of(target, connected_at);
+               }},
       daemon_directory_{settings_, protocol_, peers_.board()},
       callers_{
           loop,
@@ -136,10 +142,30 @@
 void data_plane::on_targets(std::vector<routing::target_info> const& targets)
 {
     dispatcher_.set_targets(targets);
+    target_versions_.set_targets(targets, net::now());
     channels_.set_targets(targets);
     schedule_advance();
 }
 
+void data_plane::on_registry_state(bool is_current, base::time_point at)
+{
+    is_current ? target_versions_.on_registry_current(at)
+               : target_versions_.on_registry_lost(at);
+}
+
+void data_plane::find_origin(call& resumed)
+{
+    origins_.find(resumed.context().metadata_.resumed_attempt_,
+                  [waiting = resumed.weak_from_this()](
+                      std::optional<routing::version_digest> version)
+                  {
+                      if (auto const alive = waiting.lock())
+                      {
+                          alive->on_origin(version);
+                      }
+                  });
+}
+
 void data_plane::on_daemons(std::vector<std::string> const& ips)
 {
     is_fleet_listed_ = true;
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -7,9 +7,11 @@
 #include "src/entry/graceful_shutdown.hpp"
 #include "src/entry/peer_exchange.hpp"
 #include "src/entry/request_metrics.hpp"
+#include "src/entry/stream_origin_exchange.hpp"
 #include "src/net/http_listener.hpp"
 #include "src/routing/quota_limiter.hpp"
 #include "src/routing/retry_budget.hpp"
+#include "src/routing/target_versions.hpp"
 #include "src/routing/usage_schedule.hpp"
 
 #include <set>
@@ -53,6 +55,9 @@
     }
     void on_configuration(routing::configuration_ptr configuration);
     void on_targets(std::vector<routing::target_info> const& targets);
+    /// Since `at`, the targets are known to be those of the registry, or are
+    /// not. Until the first call they are not.
+    void on_registry_state(bool is_current, base::time_point at);
     void on_daemons(std::vector<std::string> const& ips);
     /// This daemon has read a change of the registry.
     void on_registry_change(routing::registry_change change);
@@ -90,6 +95,29 @@
     {
         crashes_.on_broken(running, target);
     }
+    void find_origin(call& resumed) override;
+    void on_stream_begun(call const& running,
+                         base::time_point connected_at) override
+    {
+        origins_.on_begun(running.context().metadata_.request_id_,
+                          running.target_record(), connected_at);
+    }
+    void on_stream_resumed(call const& running,
+                           routing::version_digest version) override
+    {
+        origins_.on_resumed(running.context().metadata_.resumed_attempt_,
+                            version);
+    }
+    base::pool_id const* pool_of(routing::version_digest version) override
+    {
+        return dispatcher_.pool_of(version);
+    }
+    routing::version_finding
+    version_of(routing::target_info const& target,
+               base::time_point connected_at) const override
+    {
+        return target_versions_.version_of(target, connected_at, net::now());
+    }
     routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
     base::duration retry_after(call const& refused) override;
@@ -111,6 +139,11 @@
     void
     on_peer_report(routing::peer_ip from, routing::peer_report const& report,
                    routing::peer_table::report_delta const& delta) override;
+    void on_stream_message(routing::peer_ip from,
+                           routing::stream_message const& message) override
+    {
+        origins_.on_message(from, message);
+    }
     void on_heartbeat() override;
     bool has_calls() const override { return !calls_.empty(); }
     void on_role_changed(routing::daemon_role role) override;
@@ -160,6 +193,7 @@
     std::map<base::pool_id, routing::pool_latency> latencies_;
     channel_pool channels_;
     crash_monitor crashes_;
+    stream_origin_exchange origins_;
     daemon_directory daemon_directory_;
     request_metrics metrics_;
 
@@ -172,6 +206,7 @@
     byte_budget answer_budget_{32U << 20U};
     routing::configuration_ptr configuration_;
     base::time_point configured_at_{};
+    routing::target_versions target_versions_;
     std::map<routing::id_digest, base::workspace_id> workspaces_;
     std::map<base::request_id, std::shared_ptr<call>> calls_;
     std::array<routing::usage_schedule, report_group_count> usage_schedules_{};
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -60,6 +60,12 @@
            {
                net::asio::post(data_plane_loop_, [this, change]
                                { data_plane_.on_registry_change(change); });
+           },
+           [this](bool is_current)
+           {
+               net::asio::post(
+                   data_plane_loop_, [this, is_current, at = net::now()]
+                   { data_plane_.on_registry_state(is_current, at); });
            }}},
       signals_{data_plane_loop_, SIGTERM, SIGINT, SIGHUP},
       log_flush_timer_{data_plane_loop_, [this]
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -40,8 +40,9 @@
                                          {0ms, 0ms, 0ms, 14, 2s},
                                          {0ms, 0ms, 0ms, 200, 2s}}};
 
-/// Identifies the format of reports. Datagrams with another value are dropped.
+/// Identify the formats of datagrams. Those with another value are dropped.
 constexpr std::uint32_t report_format = 0x544c5201;
+constexpr std::uint32_t stream_message_format = 0x544c5301;
 
 std::string serialize_report(routing::peer_report& report)
 {
@@ -63,6 +64,38 @@
     return in.peek() != std::istream::traits_type::eof();
 }
 
+std::string serialize_stream_message(routing::stream_message& message)
+{
+    std::ostringstream out;
+    {
+        cereal::BinaryOutputArchive archive{out};
+        archive(stream_message_format, message);
+    }
+    return std::move(out).str();
+}
+
+bool deserialize_stream_message(std::string_view bytes,
+                                routing::stream_message& message)
+{
+    boost::interprocess::ibufferstream in{bytes.data(), bytes.size()};
+    try
+    {
+        cereal::BinaryInputArchive archive{in};
+        std::uint32_t format = 0;
+        archive(format);
+        if (format != stream_message_format)
+        {
+            return false;
+        }
+        archive(message);
+        return true;
+    }
+    catch (cereal::Exception const&)
+    {
+        return false;
+    }
+}
+
 bool deserialize_report(std::string_view bytes, routing::peer_report& report)
 {
     boost::interprocess::ibufferstream in{bytes.data(), bytes.size()};
@@ -389,14 +422,36 @@
     }
 }
 
+void peer_exchange::send_stream_message(std::vector<routing::peer_ip> const& to,
+                                        routing::stream_message message)
+{
+    auto const bytes = serialize_stream_message(message);
+    for (auto const peer : to)
+    {
+        port_.send(static_cast<std::uint32_t>(peer), bytes);
+        ++sent_count_;
+    }
+}
+
 void peer_exchange::on_datagram(std::uint32_t from, std::string_view bytes)
 {
-    routing::peer_report report;
-    if (!deserialize_report(bytes, report))
+    auto const sender = routing::peer_ip{from};
+    routing::stream_message message;
+    if (deserialize_stream_message(bytes, message))
     {
+        delegate_.on_stream_message(sender, message);
         return;
     }
-    auto const sender = routing::peer_ip{from};
+    routing::peer_report report;
+    if (deserialize_report(bytes, report))
+    {
+        on_report(sender, report);
+    }
+}
+
+void peer_exchange::on_report(routing::peer_ip sender,
+                              routing::peer_report const& report)
+{
     auto const now = net::now();
     for (auto const other : report.known_peers_)
     {
--- a/src/entry/peer_exchange.hpp
+++ b/src/entry/peer_exchange.hpp
@@ -3,6 +3,7 @@
 #include "src/entry/settings.hpp"
 #include "src/net/event_loop.hpp"
 #include "src/net/udp_socket.hpp"
+#include "src/routing/stream_origin.hpp"
 #include "src/routing/working_set.hpp"
 
 namespace tanagerlead::entry
@@ -46,6 +47,8 @@
     virtual void
     on_peer_report(routing::peer_ip from, routing::peer_report const& report,
                    routing::peer_table::report_delta const& delta) = 0;
+    virtual void on_stream_message(routing::peer_ip from,
+                                   routing::stream_message const& message) = 0;
     /// Called several times a second, also when no daemon is heard.
     virtual void on_heartbeat() = 0;
     /// Whether a caller's request is in progress.
@@ -74,6 +77,8 @@
     /// Sends reports immediately, for example at the start of a graceful
     /// shutdown.
     void send_now();
+    void send_stream_message(std::vector<routing::peer_ip> const& to,
+                             routing::stream_message message);
     /// A caller sent a request to this daemon, which stands by no longer.
     void on_request();
     routing::daemon_role role() const { return role_; }
@@ -121,6 +126,7 @@
     void add_known_addresses(routing::peer_report& report,
                              base::time_point now) const;
     void on_datagram(std::uint32_t from, std::string_view bytes);
+    void on_report(routing::peer_ip sender, routing::peer_report const& report);
     void on_heartbeat();
     void try_seeds();
     std::vector<routing::peer_ip>
--- a/src/entry/registry_reader.cpp
+++ b/src/entry/registry_reader.cpp
@@ -58,6 +58,15 @@
     }
     directory_.on_list(std::move(entries), now);
     publish();
+    set_current(true);
+}
+
+void registry_reader::set_current(bool is_current)
+{
+    if (std::exchange(is_current_, is_current) != is_current)
+    {
+        report_state_(is_current);
+    }
 }
 
 void registry_reader::on_changes(std::vector<store_item> const& items)
@@ -76,6 +85,7 @@
 void registry_reader::on_store_lost(base::error const& why)
 {
     directory_.on_registry_lost();
+    set_current(false);
     log_.write(log_category::control_plane,
                log_line{"Registry unavailable."}.with("reason", why.str()),
                net::now());
@@ -92,6 +102,7 @@
 {
     newest_revision_ = {};
     directory_.on_registry_restored(net::now());
+    set_current(false);
 }
 
 void registry_reader::publish()
--- a/src/entry/registry_reader.hpp
+++ b/src/entry/registry_reader.hpp
@@ -19,6 +19,13 @@
     registry_reader(net::asio::io_context& loop, protocol const& wire,
                     publish_callback publish);
 
+    /// `report` is called when the registry is lost, and with true when it has
+    /// been read again.
+    void set_state_callback(std::function<void(bool is_current)> report)
+    {
+        report_state_ = std::move(report);
+    }
+
     /// `list` is called when a listing must show which targets have left.
     void set_listing_callback(std::function<void()> list)
     {
@@ -38,11 +45,14 @@
     std::size_t
     count_written_before(std::vector<store_item> const& items) const;
     void publish();
+    void set_current(bool is_current);
 
     protocol const& protocol_;
     publish_callback publish_;
     std::function<void()> list_ = [] {
     };
+    std::function<void(bool)> report_state_ = [](bool) {
+    };
     rate_limited_log log_{"registry"};
     routing::target_directory directory_;
     net::deadline_timer timer_;
@@ -52,6 +62,7 @@
     /// The store is back, and the listing that shows what it kept is due.
     bool is_listing_after_gap_ = false;
     bool has_published_ = false;
+    bool is_current_ = false;
 };
 
 } // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/stream_origin_exchange.cpp
@@ -0,0 +1,153 @@
+#include "src/entry/stream_origin_exchange.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace tanagerlead::entry
+{
+
+namespace
+{
+
+/// More streams than a daemon begins within the time after which their versions
+/// are known.
+constexpr std::size_t max_unresolved = 4096;
+
+} // namespace
+
+stream_origin_exchange::stream_origin_exchange(net::asio::io_context& loop,
+                                               peer_exchange& peers,
+                                               version_finder version_of)
+    : peers_{peers}, version_of_{std::move(version_of)}, timer_{loop, [this]
+                                                                {
+                                                                    advance();
+                                                                }}
+{
+}
+
+void stream_origin_exchange::on_begun(std::string const& attempt,
+                                      routing::target_info const& target,
+                                      base::time_point connected_at)
+{
+    resolve({routing::digest_of_attempt(attempt), target, connected_at, {}});
+    set_timer();
+}
+
+void stream_origin_exchange::on_resumed(std::string const& attempt,
+                                        routing::version_digest version)
+{
+    origins_.on_begun({routing::digest_of_attempt(attempt), version},
+                      net::now());
+    set_timer();
+}
+
+void stream_origin_exchange::resolve(unresolved_origin origin)
+{
+    auto const found = version_of_(origin.target_, origin.connected_at_);
+    if (found.known_from_ && unresolved_.size() < max_unresolved)
+    {
+        origin.due_ = *found.known_from_;
+        unresolved_.push_back(std::move(origin));
+        return;
+    }
+    origins_.on_begun({origin.attempt_, found.version_}, net::now());
+    answer(origin.attempt_, found.version_);
+}
+
+void stream_origin_exchange::resolve_due()
+{
+    auto const now = net::now();
+    auto const due = std::stable_partition(
+        unresolved_.begin(), unresolved_.end(),
+        [now](unresolved_origin const& origin) { return origin.due_ > now; });
+    std::vector<unresolved_origin> const resolvable(
+        std::make_move_iterator(due),
+        std::make_move_iterator(unresolved_.end()));
+    unresolved_.erase(due, unresolved_.end());
+    for (auto const& origin : resolvable)
+    {
+        resolve(origin);
+    }
+}
+
+void stream_origin_exchange::find(std::string const& attempt,
+                                  found_callback done)
+{
+    auto const digest = routing::digest_of_attempt(attempt);
+    auto const known = origins_.find(digest);
+    if (known || attempt.empty())
+    {
+        done(known);
+        return;
+    }
+    pending_.emplace(digest, std::move(done));
+    origins_.ask(digest, net::now());
+    advance();
+}
+
+void stream_origin_exchange::on_message(routing::peer_ip from,
+                                        routing::stream_message const& message)
+{
+    auto const reply = origins_.on_message(message, net::now());
+    if (!reply.empty())
+    {
+        peers_.send_stream_message({from}, reply);
+    }
+    for (auto const& origin : message.origins_)
+    {
+        answer(origin.attempt_, origins_.find(origin.attempt_));
+    }
+}
+
+void stream_origin_exchange::answer(
+    routing::attempt_digest attempt,
+    std::optional<routing::version_digest> version)
+{
+    auto const [begin, end] = pending_.equal_range(attempt);
+    std::vector<found_callback> waiting;
+    for (auto it = begin; it != end; ++it)
+    {
+        waiting.push_back(std::move(it->second));
+    }
+    pending_.erase(begin, end);
+    for (auto const& done : waiting)
+    {
+        done(version);
+    }
+}
+
+void stream_origin_exchange::advance()
+{
+    resolve_due();
+    auto const due = origins_.take_due(net::now());
+    for (auto const& message : due.copies_)
+    {
+        peers_.send_stream_message(routing::stream_origins::holders_of(
+                                       peers_.self(), peers_.board().working()),
+                                   message);
+    }
+    for (auto const& message : due.questions_)
+    {
+        peers_.send_stream_message(peers_.board().known(), message);
+    }
+    for (auto const attempt : due.given_up_)
+    {
+        answer(attempt, std::nullopt);
+    }
+    set_timer();
+}
+
+void stream_origin_exchange::set_timer()
+{
+    auto next = origins_.next_wakeup();
+    for (auto const& origin : unresolved_)
+    {
+        next = std::min(next, origin.due_);
+    }
+    if (next != base::time_point::max())
+    {
+        timer_.set(next);
+    }
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/stream_origin_exchange.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "src/entry/peer_exchange.hpp"
+#include "src/routing/stream_origins.hpp"
+
+#include <functional>
+#include <map>
+
+namespace tanagerlead::entry
+{
+
+/// Finds the software version that began a stream, here or at other daemons,
+/// and tells it to others.
+class stream_origin_exchange
+{
+public:
+    using found_callback =
+        std::function<void(std::optional<routing::version_digest>)>;
+
+    /// Finds the version of the target behind a connection.
+    using version_finder = std::function<routing::version_finding(
+        routing::target_info const& target, base::time_point connected_at)>;
+
+    /// `peers` must outlive the exchange.
+    stream_origin_exchange(net::asio::io_context& loop, peer_exchange& peers,
+                           version_finder version_of);
+
+    /// The stream of this attempt of a caller has begun here, over a connection
+    /// to `target` that was opened at `connected_at`.
+    void on_begun(std::string const& attempt,
+                  routing::target_info const& target,
+                  base::time_point connected_at);
+    /// The stream goes on here at the version that began it.
+    void on_resumed(std::string const& attempt,
+                    routing::version_digest version);
+    /// Calls `done` once, at the latest after `answer_timeout`; with no value
+    /// if no daemon knows the attempt. May call it before it returns.
+    void find(std::string const& attempt, found_callback done);
+    void on_message(routing::peer_ip from,
+                    routing::stream_message const& message);
+
+private:
+    /// A stream that began at a version which is not known yet.
+    struct unresolved_origin
+    {
+        routing::attempt_digest attempt_{};
+        routing::target_info target_;
+        base::time_point connected_at_;
+        base::time_point due_;
+    };
+
+    void resolve(unresolved_origin origin);
+    void resolve_due();
+    void advance();
+    void set_timer();
+    void answer(routing::attempt_digest attempt,
+                std::optional<routing::version_digest> version);
+
+    peer_exchange& peers_;
+    version_finder version_of_;
+    routing::stream_origins origins_;
+    std::vector<unresolved_origin> unresolved_;
+    std::multimap<routing::attempt_digest, found_callback> pending_;
+    net::deadline_timer timer_;
+};
+
+} // namespace tanagerlead::entry
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -102,7 +102,8 @@
         return;
     }
     set_socket_options(socket_, peer_send_timeout);
-    idle_since_ = now();
+    connected_at_ = now();
+    idle_since_ = connected_at_;
     keep_alive_ = true;
     read_more();
     done({});
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -79,6 +79,7 @@
     /// idle time that the peer announced.
     bool is_reusable() const;
     base::time_point idle_since() const { return idle_since_; }
+    base::time_point connected_at() const { return connected_at_; }
     base::address const& peer() const { return peer_; }
 
 private:
@@ -126,6 +127,7 @@
     bool paused_ = false;
     bool closed_ = false;
     bool keep_alive_ = false;
+    base::time_point connected_at_{};
     base::time_point idle_since_{};
     base::duration idle_time_ = default_idle_time;
 };
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -35,6 +35,25 @@
 /// dispatcher checks for free slots at this interval.
 constexpr base::duration recheck_interval = 50ms;
 
+/// Adds to the count of the same pool and tier, if the report has one.
+void add_waiting(peer_report& out, waiting_count const& count)
+{
+    auto const known = std::find_if(out.waiting_.begin(), out.waiting_.end(),
+                                    [&](waiting_count const& c) {
+                                        return c.pool_ == count.pool_ &&
+                                               c.tier_ == count.tier_;
+                                    });
+    if (known != out.waiting_.end())
+    {
+        known->count_ =
+            static_cast<std::uint16_t>(known->count_ + count.count_);
+    }
+    else if (out.waiting_.size() < peer_report::max_waiting)
+    {
+        out.waiting_.push_back(count);
+    }
+}
+
 } // namespace
 
 dispatcher::dispatcher(settings s, peer_table const& peers)
@@ -46,7 +65,8 @@
 dispatcher::pool_record& dispatcher::pool(base::pool_id const& id)
 {
     auto const [entry, is_new] = pools_.try_emplace(
-        id, target_selector{peers_, limits_, settings_.data_centre_, random_});
+        lane_id{true, id, unknown_version},
+        target_selector{peers_, limits_, settings_.data_centre_, random_});
     if (is_new)
     {
         entry->second.digest_ = digest_of(id.str());
@@ -54,6 +74,55 @@
     return entry->second;
 }
 
+// A lane of its own keeps requests that wait for few targets from delaying
+// those that any target of the pool may run.
+dispatcher::pool_record& dispatcher::lane_of(pending_call const& call)
+{
+    auto const& id = call.work_.pool_;
+    auto& unbound = pool(id);
+    if (!call.version_)
+    {
+        return unbound;
+    }
+    auto const [entry, is_new] = pools_.try_emplace(
+        lane_id{false, id, *call.version_}, unbound.targets_);
+    auto& lane = entry->second;
+    if (is_new)
+    {
+        lane.digest_ = unbound.digest_;
+        lane.targets_.clear();
+        for (auto& [target, record] : targets_)
+        {
+            if (record.info_.pool_ == id && record.version_ == *call.version_ &&
+                record.version_ != unknown_version)
+            {
+                lane.targets_.add(record);
+            }
+        }
+    }
+    return lane;
+}
+
+void dispatcher::fill_lanes()
+{
+    std::erase_if(pools_, [](auto const& lane)
+                  { return !lane.first.is_unbound_ && lane.second.is_idle(); });
+    for (auto& [id, p] : pools_)
+    {
+        p.targets_.clear();
+    }
+    for (auto& [id, record] : targets_)
+    {
+        pool(record.info_.pool_).targets_.add(record);
+        auto const lane =
+            pools_.find({false, record.info_.pool_, record.version_});
+        if (record.version_ != unknown_version && lane != pools_.end())
+        {
+            lane->second.targets_.add(record);
+        }
+    }
+}
+
 void dispatcher::set_targets(std::vector<target_info> const& targets)
 {
     std::map<base::target_id, dispatch_target> next;
@@ -76,6 +145,7 @@
         record.info_ = info;
         record.digest_ = digest_of(info.id_.str());
         record.incarnation_ = digest_of(info);
+        record.version_ = digest_of(info.pool_, info.version_);
         apply_announcements(record);
         next.emplace(info.id_, std::move(record));
     }
@@ -89,14 +159,7 @@
             there->second.own_tokens_ += run.tokens_;
         }
     }
-    for (auto& [id, p] : pools_)
-    {
-        p.targets_.clear();
-    }
-    for (auto& [id, record] : targets_)
-    {
-        pool(record.info_.pool_).targets_.add(record);
-    }
+    fill_lanes();
 }
 
 // A target whose registry entry was absent for a while returns with a new
@@ -174,7 +237,14 @@
     }
     for (auto const& limits : pools)
     {
-        pool(limits.pool_).targets_.set_kv_capacity(limits.kv_capacity_tokens_);
+        pool(limits.pool_);
+        for (auto& [id, p] : pools_)
+        {
+            if (id.pool_ == limits.pool_)
+            {
+                p.targets_.set_kv_capacity(limits.kv_capacity_tokens_);
+            }
+        }
     }
 }
 
@@ -184,6 +254,16 @@
     return found == targets_.end() ? nullptr : &found->second.info_;
 }
 
+base::pool_id const* dispatcher::pool_of(version_digest version) const
+{
+    auto const found = std::find_if(targets_.begin(), targets_.end(),
+                                    [version](auto const& entry) {
+                                        return version != unknown_version &&
+                                               entry.second.version_ == version;
+                                    });
+    return found == targets_.end() ? nullptr : &found->second.info_.pool_;
+}
+
 base::duration dispatcher::expected_wait(pool_record const& p, double ahead,
                                          base::time_point now) const
 {
@@ -274,7 +354,7 @@
 
 void dispatcher::submit(pending_call item, base::time_point now)
 {
-    auto& p = pool(item.work_.pool_);
+    auto& p = lane_of(item);
     auto const request = item.work_.request_;
     assert(!waiting_.contains(request) && !in_flight_.contains(request));
     if (!p.targets_.has_target(item))
@@ -330,14 +410,14 @@
     auto w = std::move(found->second);
     waiting_.erase(found);
     expiries_.remove(w->expires_, request);
-    --pool(w->item_.pool_).waiting_.at(base::index(w->item_.tier_));
+    --lane_of(w->call_).waiting_.at(base::index(w->item_.tier_));
     return w;
 }
 
 target_info const* dispatcher::find_free_slot(pending_call const& call,
                                               base::time_point now)
 {
-    auto& p = pool(call.work_.pool_);
+    auto& p = lane_of(call);
     if (front(p) != nullptr)
     {
         return nullptr;
@@ -350,9 +430,12 @@
 void dispatcher::occupy_slot(dispatch_target& target, pending_call const& call,
                              base::time_point now)
 {
-    auto& p = pool(call.work_.pool_);
     auto const tokens = tokens_of(call);
-    p.targets_.on_assigned(tokens);
+    pool(call.work_.pool_).targets_.on_assigned(tokens);
+    if (call.version_)
+    {
+        lane_of(call).targets_.on_assigned(tokens);
+    }
     limits_.on_sent(target.incarnation_, now);
     ++target.own_requests_;
     target.own_tokens_ += tokens;
@@ -373,7 +456,7 @@
 {
     if (auto const w = remove(request))
     {
-        queue_of(pool(w->item_.pool_), *w).erase(*w);
+        queue_of(lane_of(w->call_), *w).erase(*w);
     }
 }
 
@@ -394,7 +477,7 @@
     {
         auto const request = expiries_.first();
         auto& w = *waiting_.at(request);
-        auto& p = pool(w.item_.pool_);
+        auto& p = lane_of(w.call_);
         if (!w.is_late_ && now < w.refused_at_)
         {
             expiries_.remove(w.expires_, request);
@@ -594,11 +677,10 @@
         for (std::size_t tier = 0; tier < p.waiting_.size(); ++tier)
         {
             auto const count = p.waiting_.at(tier);
-            if (count > 0 && out.waiting_.size() < peer_report::max_waiting)
+            if (count > 0)
             {
-                out.waiting_.push_back({p.digest_,
-                                        static_cast<std::uint8_t>(tier),
-                                        static_cast<std::uint16_t>(count)});
+                add_waiting(out, {p.digest_, static_cast<std::uint8_t>(tier),
+                                  static_cast<std::uint16_t>(count)});
             }
         }
     }
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -9,6 +9,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <vector>
@@ -91,6 +92,8 @@
     base::time_point next_wakeup() const;
 
     target_info const* find(base::target_id const& id) const;
+    /// The pool with targets of this version; null if there is none.
+    base::pool_id const* pool_of(version_digest version) const;
     /// Adds the number of own requests at each target, of waiting requests by
     /// pool and tier, and what targets said about themselves, from the `first`
     /// statement on if a report cannot hold all of them.
@@ -133,6 +136,11 @@
         sched::fair_queue on_time_;
         sched::fair_queue late_;
         std::array<int, base::max_tiers> waiting_{};
+        bool is_idle() const
+        {
+            return std::all_of(waiting_.begin(), waiting_.end(),
+                               [](int count) { return count == 0; });
+        }
         /// Refused requests that are expected to be retried.
         double pending_retries_ = 0;
         base::time_point pending_retries_at_{};
@@ -141,7 +149,21 @@
         double mean_slot_seconds_ = 0;
     };
 
+    /// Names a queue and the targets that serve it: all targets of a pool, or
+    /// those of one version for the requests that are bound to it. The bound
+    /// ones come first in the order of ids, since their streams have begun.
+    struct lane_id
+    {
+        bool is_unbound_ = true;
+        base::pool_id pool_;
+        version_digest version_ = unknown_version;
+
+        auto operator<=>(lane_id const&) const = default;
+    };
+
     pool_record& pool(base::pool_id const& id);
+    pool_record& lane_of(pending_call const& call);
+    void fill_lanes();
     void expire(base::time_point now, std::vector<sched::action>& out);
     static sched::fair_queue& queue_of(pool_record& p, waiting_call const& w);
     static waiting_call* front(pool_record& p);
@@ -183,7 +205,7 @@
     std::map<base::target_id, dispatch_target> targets_;
     target_announcements announcements_;
     target_limits limits_;
-    std::map<base::pool_id, pool_record> pools_;
+    std::map<lane_id, pool_record> pools_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_call>>
         waiting_;
     absl::flat_hash_map<base::request_id, running_call> in_flight_;
--- a/src/routing/pending_call.hpp
+++ b/src/routing/pending_call.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "src/routing/stream_origin.hpp"
 #include "src/sched/types.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace tanagerlead::routing
@@ -25,6 +27,9 @@
     /// The caller has received part of the answer, which is lost if the request
     /// does not continue.
     bool answer_started_ = false;
+    /// Only targets of this version may run the request, since it goes on with
+    /// a stream of theirs.
+    std::optional<version_digest> version_;
 };
 
 /// How an attempt at a target ended.
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -3,6 +3,7 @@
 #include "src/base/ids.hpp"
 #include "src/base/units.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -59,6 +60,13 @@
         return kind_ == route_kind::idempotent ||
                (kind_ == route_kind::stream && resumable_);
     }
+
+    bool has_pool(base::pool_id const& pool) const
+    {
+        return std::any_of(pools_.begin(), pools_.end(),
+                           [&](weighted_pool const& p)
+                           { return p.pool_ == pool; });
+    }
 };
 
 /// A workspace's keys, rank and quota.
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -17,6 +17,7 @@
     target_info info_;
     id_digest digest_{};
     incarnation_digest incarnation_{};
+    version_digest version_ = unknown_version;
     /// This daemon's requests at the target, and their tokens.
     int own_requests_ = 0;
     base::token_count own_tokens_ = 0;
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -31,6 +31,7 @@
             {
                 CHECK(data_plane_.start().has_value());
                 data_plane_.on_daemons({});
+                data_plane_.on_registry_state(true, net::now() - registry_age);
             });
     }
 
@@ -125,6 +126,11 @@
         return out;
     }
 
+    void lose_registry()
+    {
+        on_loop([&] { data_plane_.on_registry_state(false, net::now()); });
+    }
+
     base::address health()
     {
         base::address out;
@@ -147,6 +153,9 @@
     }
 
 private:
+    /// The registry was read long enough ago to be relied on.
+    static constexpr base::duration registry_age = std::chrono::seconds{60};
+
     static entry::settings make_settings()
     {
         entry::settings s;
--- a/tests/entry/peer_exchange_test.cpp
+++ b/tests/entry/peer_exchange_test.cpp
@@ -19,6 +19,10 @@
                         routing::peer_table::report_delta const&) override
     {
     }
+    void on_stream_message(routing::peer_ip,
+                           routing::stream_message const&) override
+    {
+    }
     void on_heartbeat() override { ++heartbeats_; }
     bool has_calls() const override { return false; }
     void on_role_changed(routing::daemon_role) override {}
--- a/tests/entry/stream_version_test.cpp
+++ b/tests/entry/stream_version_test.cpp
@@ -132,3 +132,13 @@
     CHECK(answer.starts_with("HTTP/1.1 503"));
     LONGS_EQUAL(0, second_.requests().size());
 }
+
+TEST(stream_version, is_not_trusted_while_the_registry_is_lost)
+{
+    begin_stream("q1");
+    entry_.lose_registry();
+    entry_.set_targets({nullptr, &second_}, {"", "1"});
+    auto const answer = ask(stream_request("q2", resumption_of("q1")));
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    LONGS_EQUAL(0, second_.requests().size());
+}
