Known red: a daemon cut off from the targets serves nobody

Two of the three cases of relay fail on this code: a daemon whose targets refuse all connections answers 503 while another daemon, which it hears, reaches them. The third guards what must stay: if no daemon reaches a target, requests end in bounded time and reach none.

--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -17,8 +17,11 @@
 class entry_fixture
 {
 public:
-    entry_fixture()
-        : data_plane_{loop_, make_settings(), protocol_,
+    /// Daemons that are to hear each other have different addresses and the
+    /// same `report_port`.
+    explicit entry_fixture(std::string const& ip = "127.0.0.1",
+                           std::uint16_t report_port = 0)
+        : data_plane_{loop_, make_settings(ip, report_port), protocol_,
                       [](std::string const&) {
                       }},
           thread_{[this]
@@ -126,6 +129,16 @@
         return out;
     }
 
+    void set_registry(std::vector<routing::target_info> const& infos)
+    {
+        on_loop([&] { data_plane_.on_targets(infos); });
+    }
+
+    void set_daemons(std::vector<std::string> const& ips)
+    {
+        on_loop([&] { data_plane_.on_daemons(ips); });
+    }
+
     void lose_registry()
     {
         on_loop([&] { data_plane_.on_registry_state(false, net::now()); });
@@ -156,14 +169,16 @@
     /// The registry was read long enough ago to be relied on.
     static constexpr base::duration registry_age = std::chrono::seconds{60};
 
-    static entry::settings make_settings()
+    static entry::settings make_settings(std::string const& ip,
+                                         std::uint16_t report_port)
     {
         entry::settings s;
         s.daemon_ = base::daemon_id{"d"};
         s.data_centre_ = base::data_centre_id{"here"};
-        s.callers_ = {"127.0.0.1", 0};
-        s.health_ = {"127.0.0.1", 0};
-        s.directory_ = {"127.0.0.1", 0};
+        s.callers_ = {ip, 0};
+        s.health_ = {ip, 0};
+        s.directory_ = {ip, 0};
+        s.report_port_ = report_port;
         s.grace_period_ = std::chrono::seconds{3};
         return s;
     }
--- /dev/null
+++ b/tests/entry/relay_test.cpp
@@ -0,0 +1,161 @@
+#include "tests/entry/fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <memory>
+
+using namespace tanagerlead;
+using namespace tanagerlead::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using step = answer_step;
+using action = answer_step::action;
+
+/// A UDP and TCP port that no other process uses now.
+std::uint16_t free_port()
+{
+    net::asio::io_context loop;
+    net::tcp::acceptor probe{loop,
+                             {net::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
+std::vector<step> answer_at_once(std::string const& request)
+{
+    if (request.starts_with("POST /stream/"))
+    {
+        return {{action::send, stream_head(request) + event_chunk(1) +
+                                   event_chunk(2) + stream_end}};
+    }
+    return {{action::send, complete_answer(request, 200, "done")}};
+}
+
+routing::target_info target_at(std::string const& id,
+                               base::address const& address)
+{
+    routing::target_info out;
+    out.id_ = base::target_id{id};
+    out.pool_ = base::pool_id{"p"};
+    out.address_ = address;
+    out.data_centre_ = base::data_centre_id{"here"};
+    out.version_ = base::software_version{"1"};
+    return out;
+}
+
+std::string numbered(std::string text, int number)
+{
+    return text.replace(text.find("Id: q1"), 6,
+                        "Id: r" + std::to_string(number));
+}
+
+} // namespace
+
+TEST_GROUP(relay)
+{
+    scripted_target first_{answer_at_once};
+    scripted_target second_{answer_at_once};
+    scripted_target third_{answer_at_once};
+    std::uint16_t port_ = free_port();
+    entry_fixture cut_off_{"127.0.0.1", port_};
+    entry_fixture other_{"127.0.0.2", port_};
+    int last_request_ = 0;
+
+    void setup() override
+    {
+        for (auto* const daemon : {&cut_off_, &other_})
+        {
+            daemon->configure();
+        }
+        cut_off_.set_daemons({"127.0.0.2"});
+        other_.set_daemons({"127.0.0.1"});
+        reach(other_);
+        reach_nothing(cut_off_);
+        std::this_thread::sleep_for(400ms);
+    }
+
+    void teardown() override
+    {
+        for (auto* const daemon : {&cut_off_, &other_})
+        {
+            daemon->set_registry({});
+        }
+    }
+
+    void reach(entry_fixture & daemon)
+    {
+        daemon.set_registry({target_at("i-0", first_.address()),
+                             target_at("i-1", second_.address()),
+                             target_at("i-2", third_.address())});
+    }
+
+    static void reach_nothing(entry_fixture & daemon)
+    {
+        base::address const nobody{"127.0.0.3", 9};
+        daemon.set_registry({target_at("i-0", nobody), target_at("i-1", nobody),
+                             target_at("i-2", nobody)});
+    }
+
+    std::string ask(std::string const& path, std::string const& more = "")
+    {
+        raw_caller caller{cut_off_.callers()};
+        caller.send(numbered(entry_fixture::request(
+                                 path, "body", "Connection: close\r\n" + more),
+                             ++last_request_));
+        return caller.read_to_end();
+    }
+
+    std::size_t runs() const
+    {
+        return first_.requests().size() + second_.requests().size() +
+               third_.requests().size();
+    }
+};
+
+TEST(relay, serves_callers_of_a_daemon_that_reaches_no_target)
+{
+    for (auto const* const path : {"/plain/", "/once/", "/stream/", "/flow/"})
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            auto const answer = ask(path);
+            CHECK_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+        }
+    }
+    LONGS_EQUAL(20, runs());
+}
+
+TEST(relay, passes_on_what_the_caller_sent_once)
+{
+    ask("/plain/", "X-Other: kept\r\n");
+    LONGS_EQUAL(1, runs());
+    for (auto const* const t : {&first_, &second_, &third_})
+    {
+        for (auto const& request : t->requests())
+        {
+            STRCMP_EQUAL(
+                "r1", header_value(request, "Tanagerlead-Request-Id").c_str());
+            STRCMP_EQUAL("shop",
+                         header_value(request, "Tanagerlead-Tenant").c_str());
+            STRCMP_EQUAL("kept", header_value(request, "X-Other").c_str());
+            STRCMP_EQUAL("", header_value(request, "X-Api-Key").c_str());
+            CHECK(request.ends_with("body"));
+        }
+    }
+}
+
+TEST(relay, ends_when_no_daemon_reaches_a_target)
+{
+    reach_nothing(other_);
+    for (int i = 0; i < 5; ++i)
+    {
+        auto const asked = net::now();
+        auto const answer = ask("/plain/");
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(net::now() - asked < 3s);
+    }
+    LONGS_EQUAL(0, runs());
+}
