A target whose measured service time is zero gets requests

Requests for a pool, or a version, whose only known service time is zero waited until they were refused as overloaded, with free slots. The mean service time of the targets is a divisor of their cost; it was zero when all events of the only stream so far came at once, so the cost was no number and compared as higher than any.

The mean is 1 now if nothing else is known. dispatcher tests pass.

--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -163,7 +163,8 @@
             ++known;
         }
     }
-    return known == 0 ? 1.0 : sum / known;
+    // The mean is a divisor.
+    return sum > 0 ? sum / known : 1.0;
 }
 
 double target_selector::cost(dispatch_target const& t, int peer_requests,
--- a/tests/routing/dispatcher_test.cpp
+++ b/tests/routing/dispatcher_test.cpp
@@ -50,6 +50,15 @@
     CHECK(d_.granted_numbers() == (numbers{1, 2, 3}));
 }
 
+TEST(dispatcher, uses_a_target_that_took_no_measurable_time)
+{
+    d_->set_targets({target("a", 2)});
+    d_->on_service_time(base::target_id{"a"}, 0s, 1);
+    d_->submit(call(1), at(0s));
+    d_.advance(at(0s));
+    CHECK(d_.granted_numbers() == (numbers{1}));
+}
+
 TEST(dispatcher, counts_what_other_daemons_run_at_a_target)
 {
     d_->set_targets({target("a", 2)});
