--- a/tests/entry/scripted_target.cpp
+++ b/tests/entry/scripted_target.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cassert>
+#include <chrono>
 #include <cstdio>
 
 namespace tanagerlead::test
@@ -193,6 +194,9 @@
             ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
             return false;
         }
+        case answer_step::action::fall_silent:
+            std::this_thread::sleep_for(std::chrono::seconds{1});
+            break;
         case answer_step::action::wait_for_peer:
             while (::recv(socket, rest.data(), rest.size(), 0) > 0)
             {
--- a/tests/entry/scripted_target.hpp
+++ b/tests/entry/scripted_target.hpp
@@ -28,6 +28,8 @@
         crash,
         /// Waits until the peer closes the connection.
         wait_for_peer,
+        /// Sends nothing for a second.
+        fall_silent,
     };
 
     action action_ = action::send;
