A daemon that reaches no target of a pool passes requests to one that does

Cause: a daemon had nowhere to send a request but to targets. Failed connects made it work out a wait and refuse as if there were too much work; and all daemons went on to name it to callers. Class: a decision from local sight where another daemon knows better.

Reports name such pools. Requests for them, also those that wait or sit at a stalled target, go to a random daemon that is heard, ready and does not name the pool (target_links). The relay takes the sender's decisions: quota, pool, the attempts that are left, the time that is left; it refuses if its configuration is older or the sender unknown to it, checks the quarantine and the version of a stream itself, and never passes a request on again. A relay that sent nothing says so, and one more daemon is tried. A daemon that reaches no pool at all is not named to callers while others are; it still answers that it is ready.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -1,5 +1,7 @@
 #include "src/entry/call.hpp"
 
+#include "src/entry/relay_fields.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <charconv>
@@ -30,6 +32,8 @@
 constexpr base::duration time_to_prove = 1s;
 /// Callers leave a stream after a longer pause.
 constexpr base::duration max_stream_pause = 1800ms;
+/// Daemons that one request may be passed to.
+constexpr int max_relays = 2;
 /// Another daemon may know what this one cannot find out.
 constexpr base::duration retry_elsewhere = 100ms;
 constexpr std::string_view event_stream_type = "text/event-stream";
@@ -141,7 +145,7 @@
         delegate_.find_origin(*this);
         return;
     }
-    delegate_.submit(make_item());
+    submit();
 }
 
 void call::on_origin(std::optional<routing::version_digest> version)
@@ -166,11 +170,15 @@
     }
     context_.pool_ = *pool;
     context_.pool_digest_ = routing::digest_of(pool->str());
-    delegate_.submit(make_item());
+    submit();
 }
 
 void call::submit()
 {
+    if (try_relay())
+    {
+        return;
+    }
     if (is_bound() && !find_version())
     {
         apply_verdict(retry_decision::truncate, "unknown_version");
@@ -179,6 +187,39 @@
     delegate_.submit(make_item());
 }
 
+std::optional<routing::target_info> call::find_relay() const
+{
+    if (context_.is_relayed_ || relays_tried_ == max_relays)
+    {
+        return std::nullopt;
+    }
+    return delegate_.find_relay(context_.pool_, tried_);
+}
+
+bool call::try_relay()
+{
+    auto relay = find_relay();
+    if (!relay)
+    {
+        return false;
+    }
+    ++relays_tried_;
+    target_ = std::move(*relay);
+    is_at_relay_ = true;
+    open_channel();
+    return true;
+}
+
+void call::on_pool_unreachable()
+{
+    auto const self = shared_from_this();
+    if (state_ == state::waiting)
+    {
+        delegate_.withdraw(*this);
+        submit();
+    }
+}
+
 routing::version_finding call::version_of_stream() const
 {
     return is_resumption()
@@ -257,13 +298,19 @@
 void call::on_grant(routing::target_info const& target)
 {
     assert(state_ == state::waiting);
-    state_ = state::connecting;
     target_ = target;
+    is_at_relay_ = false;
+    open_channel();
+}
+
+void call::open_channel()
+{
+    state_ = state::connecting;
     auto const max_idle = context_.route_->is_retryable()
                               ? max_idle_repeatable
                               : max_idle_non_repeatable;
     delegate_.acquire_channel(
-        target, max_idle,
+        target_, max_idle,
         [self = weak_from_this()](std::shared_ptr<net::channel> opened,
                                   net::error_code const& error)
         {
@@ -290,6 +337,13 @@
         return;
     }
     channel_ = std::move(opened);
+    if (is_at_relay_)
+    {
+        // The relay checks the quarantine and the version itself.
+        is_trial_ = false;
+        send();
+        return;
+    }
     is_bound() ? send_to_version() : send_if_permitted();
 }
 
@@ -342,35 +396,63 @@
            attempt_last_event_at_ - attempt_first_event_at_ >= time_to_prove;
 }
 
+net::http_request call::own_request() const
+{
+    forward_metadata metadata;
+    metadata.target_ = target_.id_;
+    metadata.time_left_ = deadline_ - attempt_sent_at_;
+    metadata.last_event_ = last_event_;
+    if (context_.workspace_ != nullptr)
+    {
+        metadata.workspace_ = context_.workspace_->id_;
+    }
+    auto out = context_.request_;
+    out.headers_ = delegate_.get_protocol().forward_headers(
+        context_.request_.headers_, metadata);
+    return out;
+}
+
+net::http_request call::relayed_request() const
+{
+    relay_metadata metadata;
+    metadata.time_left_ = deadline_ - attempt_sent_at_;
+    metadata.last_event_ = last_event_;
+    metadata.resumed_attempt_ = is_resumption()
+                                    ? context_.metadata_.resumed_attempt_
+                                    : context_.metadata_.request_id_;
+    auto out = context_.request_;
+    out.headers_ = delegate_.get_protocol().relay_headers(
+        context_.request_.headers_, metadata);
+    out.headers_.set(relay_fields::attempts, std::to_string(relayed_attempts_));
+    out.headers_.set(relay_fields::pool, context_.pool_.str());
+    out.headers_.set(relay_fields::configuration,
+                     std::to_string(static_cast<std::uint64_t>(
+                         context_.configuration_->version())));
+    return out;
+}
+
 void call::send()
 {
     state_ = state::running;
-    ++progress_.attempts_;
     tried_.push_back(target_.id_);
     attempt_sent_at_ = net::now();
-    if (progress_.attempts_ == 1)
+    if (progress_.attempts_ == 0)
     {
         first_sent_at_ = attempt_sent_at_;
     }
+    // The relay may use all attempts that are left, and does not say how many
+    // it has used.
+    relayed_attempts_ =
+        is_at_relay_
+            ? std::max(1, context_.route_->max_attempts_ - progress_.attempts_)
+            : 0;
+    progress_.attempts_ += is_at_relay_ ? relayed_attempts_ : 1;
     attempt_event_count_ = 0;
     is_proved_ = false;
     event_splitter_ = {};
     drop_answer_body();
     is_streamed_ = false;
-    forward_metadata metadata;
-    metadata.target_ = target_.id_;
-    metadata.time_left_ = deadline_ - attempt_sent_at_;
-    metadata.last_event_ = last_event_;
-    if (context_.workspace_ != nullptr)
-    {
-        metadata.workspace_ = context_.workspace_->id_;
-    }
-    net::http_request request;
-    request.method_ = context_.request_.method_;
-    request.target_ = context_.request_.target_;
-    request.headers_ = delegate_.get_protocol().forward_headers(
-        context_.request_.headers_, metadata);
-    request.body_ = context_.request_.body_;
+    auto const request = is_at_relay_ ? relayed_request() : own_request();
     caller_->on_drained(
         [this]
         {
@@ -388,14 +470,16 @@
     auto const metadata = delegate_.get_protocol().read_answer_metadata(head);
     // Even the answer to another request is the target's own statement, unless
     // another target has taken over the address.
-    if (!metadata.is_wrong_target_)
+    if (!metadata.is_wrong_target_ && !is_at_relay_)
     {
         delegate_.on_announcement(target_, metadata);
     }
     auto const is_refusal_without_id =
         metadata.request_id_.empty() && metadata.not_executed_;
+    auto const is_from_relay =
+        is_at_relay_ && head.headers_.find(relay_fields::result) != nullptr;
     if (metadata.request_id_ != context_.metadata_.request_id_ &&
-        !is_refusal_without_id)
+        !is_refusal_without_id && !is_from_relay)
     {
         delegate_.log().write(
             log_category::attempt,
@@ -414,7 +498,7 @@
                 "target", target_.id_.str()),
             net::now());
     }
-    else if (!metadata.is_wrong_target_)
+    else if (!metadata.is_wrong_target_ && !is_at_relay_)
     {
         delegate_.on_limit(target_, metadata.limit_, attempt_sent_at_);
     }
@@ -424,8 +508,8 @@
     auto const type = net::media_type(head.headers_);
     is_streamed_ = is_stream() && head.status_ == 200 && metadata.is_signed_ &&
                    (type.empty() || type == event_stream_type);
-    auto const can_follow =
-        !progress_.answer_started_ || is_streamed_ || metadata.not_executed_;
+    auto const can_follow = !progress_.answer_started_ || is_streamed_ ||
+                            metadata.not_executed_ || is_from_relay;
     if (metadata.is_altered_ || !can_follow)
     {
         return net::head_action::refuse;
@@ -526,6 +610,11 @@
 
 void call::on_first_event()
 {
+    if (is_at_relay_)
+    {
+        // The relay knows the version.
+        return;
+    }
     if (is_resumption())
     {
         delegate_.on_stream_resumed(*this, version_);
@@ -602,6 +691,10 @@
 void call::on_whole_answer()
 {
     auto const status = answer_.status_;
+    if (is_at_relay_ && handle_relay_result())
+    {
+        return;
+    }
     if (answer_metadata_.not_executed_)
     {
         ++progress_.rejections_;
@@ -642,18 +735,54 @@
     apply_verdict(retry_decision::forward_error, "");
 }
 
+bool call::handle_relay_result()
+{
+    auto const* const result = answer_.headers_.find(relay_fields::result);
+    if (result == nullptr)
+    {
+        return false;
+    }
+    if (*result == relay_fields::result_unreachable)
+    {
+        progress_.attempts_ -= relayed_attempts_;
+        ++progress_.failed_connects_;
+        fail(attempt_failure::not_connected, "relay reaches no target");
+    }
+    else if (*result == relay_fields::result_refused)
+    {
+        progress_.attempts_ -= relayed_attempts_;
+        end_attempt(attempt_outcome::rejected);
+        on_refusal(
+            sched::refusal_cause::overloaded,
+            net::read_retry_after(answer_.headers_).value_or(retry_elsewhere));
+    }
+    else
+    {
+        on_broken("relay failed, status " + std::to_string(answer_.status_));
+    }
+    return true;
+}
+
 void call::on_broken(std::string const& detail)
 {
     auto const self = shared_from_this();
     channel_.reset();
     progress_.may_have_run_ = true;
     auto const target = target_.id_;
+    auto const was_at_relay = is_at_relay_;
     fail(attempt_failure::broken, detail);
-    delegate_.on_broken(*this, target);
+    if (!was_at_relay)
+    {
+        delegate_.on_broken(*this, target);
+    }
 }
 
 void call::arm_stall_timer()
 {
+    if (is_at_relay_)
+    {
+        return;
+    }
     routing::attempt_state const context{progress_.attempts_,
                                          attempt_event_count_,
                                          context_.metadata_.prompt_tokens_};
@@ -680,6 +809,10 @@
     {
         return;
     }
+    if (move_to_relay())
+    {
+        return;
+    }
     if (is_bound() && !find_version())
     {
         stall_timer_.set_after(stall_recheck_interval);
@@ -712,6 +845,23 @@
     on_grant(chosen);
 }
 
+// The connections that a daemon has when it is cut off hang until they time
+// out.
+bool call::move_to_relay()
+{
+    if (!find_relay() || !delegate_.take_retry(context_.pool_))
+    {
+        return false;
+    }
+    channel_->close();
+    channel_.reset();
+    progress_.may_have_run_ = true;
+    end_attempt(attempt_outcome::failed);
+    state_ = state::waiting;
+    submit();
+    return true;
+}
+
 void call::end_attempt(attempt_outcome end)
 {
     stall_timer_.clear();
@@ -729,6 +879,12 @@
                               .with("attempt", progress_.attempts_)
                               .with("reason", detail),
                           net::now());
+    // Failed connects here say nothing about those of another daemon.
+    if (failure == attempt_failure::not_connected && progress_.attempts_ == 0 &&
+        try_relay())
+    {
+        return;
+    }
     auto verdict = routing::decide_retry(failure, progress_, *context_.route_);
     auto const no_time = deadline_ - net::now() < min_time_for_retry;
     if (verdict == retry_decision::reconnect && no_time)
@@ -773,12 +929,27 @@
     }
 }
 
+char const* call::relay_result(int status) const
+{
+    if (status != 503)
+    {
+        return relay_fields::result_failed;
+    }
+    return progress_.attempts_ == 0 && progress_.failed_connects_ > 0
+               ? relay_fields::result_unreachable
+               : relay_fields::result_refused;
+}
+
 void call::answer_locally(int status, std::string const& cause,
                           std::optional<base::duration> retry_after)
 {
     status_ = status;
     net::http_response response;
     response.status_ = status;
+    if (context_.is_relayed_)
+    {
+        response.headers_.add(relay_fields::result, relay_result(status));
+    }
     if (retry_after)
     {
         net::set_retry_after(response, *retry_after);
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -89,6 +89,10 @@
     virtual void
     release_channel(base::target_id const& target,
                     std::shared_ptr<net::channel> const& channel) = 0;
+    /// A daemon that reaches the pool if this one does not; see target_links.
+    virtual std::optional<routing::target_info>
+    find_relay(base::pool_id const& pool,
+               std::vector<base::target_id> const& tried) = 0;
     /// Called once at the end of a call, which is destroyed soon after.
     virtual void on_call_finished(call& finished, call_outcome outcome,
                                   std::string const& cause) = 0;
@@ -128,6 +132,12 @@
         /// Units charged to the workspace's quota; refunded if the request does
         /// not run.
         double quota_units_ = 0;
+        /// Another daemon passed the request on, since it does not reach the
+        /// pool. It is not passed on again.
+        bool is_relayed_ = false;
+        /// If set, `route_` is this copy, with the attempts that are left to a
+        /// relayed request.
+        std::shared_ptr<routing::route const> limited_route_;
     };
 
     /// `delegate` must outlive the call.
@@ -142,6 +152,9 @@
     void on_refusal(sched::refusal_cause cause, base::duration retry_after);
     /// Other requests than before are in quarantine.
     void on_quarantine_changed();
+    /// A request that waits for targets of a pool which this daemon does not
+    /// reach goes to another daemon.
+    void on_pool_unreachable();
 
     request_context const& context() const { return context_; }
     routing::call_progress const& progress() const { return progress_; }
@@ -157,6 +170,8 @@
     /// The target of the current attempt has worked on this request for so long
     /// that the request does not crash it.
     bool has_run_well() const;
+    /// The current attempt is made by another daemon.
+    bool is_at_relay() const { return is_at_relay_; }
     base::time_point first_sent_at() const { return first_sent_at_; }
     int status() const { return status_; }
 
@@ -212,6 +227,18 @@
     /// stream.
     bool is_bound() const { return is_stream() && has_begun(); }
     void submit();
+    /// Passes the request to another daemon if this one does not reach its
+    /// pool. False if there is none to pass it to.
+    bool try_relay();
+    std::optional<routing::target_info> find_relay() const;
+    bool move_to_relay();
+    void open_channel();
+    net::http_request own_request() const;
+    net::http_request relayed_request() const;
+    /// Handles an answer of the relay itself. False for an answer of a target.
+    bool handle_relay_result();
+    /// What the daemon that passed this request on learns from a local answer.
+    char const* relay_result(int status) const;
     routing::version_finding version_of_stream() const;
     /// The version that began the stream, which may have to be confirmed. False
     /// if it cannot be known.
@@ -241,6 +268,10 @@
     /// streamed.
     net::http_response answer_;
     answer_metadata answer_metadata_;
+    bool is_at_relay_ = false;
+    int relays_tried_ = 0;
+    /// Attempts that the relay may make.
+    int relayed_attempts_ = 0;
     bool is_streamed_ = false;
     routing::event_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_;
--- a/src/entry/channel_pool.cpp
+++ b/src/entry/channel_pool.cpp
@@ -62,9 +62,12 @@
     }
     auto const fresh = std::make_shared<net::channel>(loop_, target.address_);
     fresh->connect(connect_timeout,
-                   [weak = std::weak_ptr{fresh},
+                   [this, weak = std::weak_ptr{fresh}, target,
                     done = std::move(done)](net::error_code const& error)
-                   { done(error ? nullptr : weak.lock(), error); });
+                   {
+                       observe_connect_(target, !error);
+                       done(error ? nullptr : weak.lock(), error);
+                   });
 }
 
 void channel_pool::probe(routing::target_info const& target,
@@ -72,12 +75,13 @@
 {
     auto const fresh = std::make_shared<net::channel>(loop_, target.address_);
     fresh->connect(connect_timeout,
-                   [this, weak = std::weak_ptr{fresh}, id = target.id_,
+                   [this, weak = std::weak_ptr{fresh}, target,
                     done = std::move(done)](net::error_code const& error)
                    {
+                       observe_connect_(target, !error);
                        if (!error)
                        {
-                           release(id, weak.lock());
+                           release(target.id_, weak.lock());
                        }
                        done(!error);
                    });
--- a/src/entry/channel_pool.hpp
+++ b/src/entry/channel_pool.hpp
@@ -17,7 +17,15 @@
     using open_callback =
         std::function<void(std::shared_ptr<net::channel>, net::error_code)>;
 
+    using connect_observer =
+        std::function<void(routing::target_info const& target, bool connected)>;
+
     explicit channel_pool(net::asio::io_context& loop) : loop_{loop} {}
+    /// Called after each attempt to open a connection, before its user.
+    void set_connect_observer(connect_observer observe)
+    {
+        observe_connect_ = std::move(observe);
+    }
     ~channel_pool();
     channel_pool(channel_pool const&) = delete;
     channel_pool& operator=(channel_pool const&) = delete;
@@ -47,6 +55,8 @@
     static void close_all(target_channels& channels);
 
     net::asio::io_context& loop_;
+    connect_observer observe_connect_ = [](routing::target_info const&, bool) {
+    };
     std::map<base::target_id, target_channels> by_target_;
 };
 
--- a/src/entry/daemon_directory.cpp
+++ b/src/entry/daemon_directory.cpp
@@ -36,7 +36,8 @@
     auto const is_here = data_centre == settings_.data_centre_;
     auto const where = routing::digest_of(data_centre.str());
     auto found = addresses_of(peers_.serving(where, now));
-    if (is_here && own.is_ready_ && own.role_ == routing::daemon_role::serving)
+    if (is_here && own.is_ready_ && !own.is_cut_off_ &&
+        own.role_ == routing::daemon_role::serving)
     {
         found.push_back(settings_.callers_);
     }
--- a/src/entry/daemon_directory.hpp
+++ b/src/entry/daemon_directory.hpp
@@ -17,6 +17,8 @@
     {
         bool is_ready_ = false;
         routing::daemon_role role_ = routing::daemon_role::serving;
+        /// It reaches no target.
+        bool is_cut_off_ = false;
     };
 
     /// All arguments must outlive the directory.
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -1,6 +1,8 @@
 #include "src/entry/data_plane.hpp"
 
+#include "src/base/numbers.hpp"
 #include "src/entry/call_log.hpp"
+#include "src/entry/relay_fields.hpp"
 #include "src/entry/request_properties.hpp"
 
 #include <boost/outcome/try.hpp>
@@ -20,6 +22,9 @@
 /// targets, the store and files.
 constexpr double caller_descriptor_fraction = 0.7;
 constexpr std::size_t max_internal_connections = 256;
+constexpr std::size_t max_relay_connections = 512;
+/// What a relay adds to the head of a request.
+constexpr std::size_t relay_head_bytes = 512;
 /// Short, since a caller can retry at another daemon that has a configuration.
 constexpr base::duration retry_when_starting = 300ms;
 constexpr base::duration retry_when_shutting_down = 50ms;
@@ -44,10 +49,17 @@
                    parse_peer_ip(s.callers_.ip_).value_or(routing::peer_ip{})},
                   peers_.board()},
       retry_budget_{{s.retry_ratio_, s.retry_slack_, s.retry_window_}},
-      quotas_{s.quota_slack_}, channels_{loop},
+      quotas_{s.quota_slack_}, links_{loop,
+                                      s.report_port_,
+                                      peers_.board(),
+                                      log_,
+                                      {[this](base::pool_id const& pool)
+                                       {
+                                           on_reach_changed(pool);
+                                       }}},
       crashes_{parse_peer_ip(s.callers_.ip_).value_or(routing::peer_ip{}),
                dispatcher_,
-               channels_,
+               links_.targets(),
                log_,
                {[this] { peers_.schedule_reports(); },
                 [this] { schedule_advance(); },
@@ -70,17 +82,25 @@
           {
               on_request(from, std::move(r));
           }},
+      relays_{loop, max_relay_connections,
+              [this](connection_ptr const& from, net::http_request r)
+              {
+                  on_relayed_request(from, std::move(r));
+              }},
       health_{loop, max_internal_connections,
               [this](auto const& from, net::http_request const& r)
               {
                   on_health_request(from, r);
               }},
-      directory_{loop, max_internal_connections,
-                 [this](auto const& from, net::http_request const& r)
-                 {
-                     from->answer(daemon_directory_.answer(
-                         r.target_, {is_ready(), peers_.role()}, net::now()));
-                 }},
+      directory_{
+          loop, max_internal_connections,
+          [this](auto const& from, net::http_request const& r)
+          {
+              from->answer(daemon_directory_.answer(
+                  r.target_,
+                  {is_ready(), peers_.role(), links_.reach().is_cut_off()},
+                  net::now()));
+          }},
       metrics_listener_{loop, max_internal_connections,
                         [this](auto const& from, net::http_request const&)
                         {
@@ -115,6 +135,8 @@
 base::result<void> data_plane::start()
 {
     BOOST_OUTCOME_TRYV(callers_.listen(settings_.callers_));
+    BOOST_OUTCOME_TRYV(
+        relays_.listen({settings_.callers_.ip_, settings_.report_port_}));
     BOOST_OUTCOME_TRYV(health_.listen(settings_.health_));
     BOOST_OUTCOME_TRYV(directory_.listen(settings_.directory_));
     BOOST_OUTCOME_TRYV(metrics_listener_.listen(
@@ -136,6 +158,9 @@
     auto const& limits = configuration_->limits();
     callers_.set_limits({limits.max_header_bytes_, limits.max_body_bytes_,
                          limits.header_timeout_, limits.idle_timeout_});
+    relays_.set_limits({limits.max_header_bytes_ + relay_head_bytes,
+                        limits.max_body_bytes_, limits.header_timeout_,
+                        limits.idle_timeout_});
     peers_.schedule_reports();
 }
 
@@ -143,7 +168,7 @@
 {
     dispatcher_.set_targets(targets);
     target_versions_.set_targets(targets, net::now());
-    channels_.set_targets(targets);
+    links_.set_targets(targets);
     schedule_advance();
 }
 
@@ -279,12 +304,80 @@
     start_call(from, std::move(request), std::move(metadata).value());
 }
 
+// A relay that decides by an older configuration than the sender could do what
+// is no longer allowed.
+void data_plane::on_relayed_request(connection_ptr const& from,
+                                    net::http_request request)
+{
+    std::uint64_t version = 0;
+    int attempts = 0;
+    auto const is_well_formed =
+        base::parse_number(request.headers_.value(relay_fields::configuration),
+                           version) &&
+        base::parse_number(request.headers_.value(relay_fields::attempts),
+                           attempts) &&
+        attempts > 0;
+    request.headers_.remove(relay_fields::configuration);
+    request.headers_.remove(relay_fields::attempts);
+    base::pool_id const pool{request.headers_.value(relay_fields::pool)};
+    request.headers_.remove(relay_fields::pool);
+    auto metadata = protocol_.read_request_metadata(request.headers_);
+    auto const sender = parse_peer_ip(from->peer().ip_);
+    if (!is_well_formed || !metadata || !sender ||
+        !peers_.board().data_centre_of(*sender) || !configuration_ ||
+        static_cast<std::uint64_t>(configuration_->version()) < version ||
+        shutdown_.rejects_requests())
+    {
+        refuse_relayed(from);
+        return;
+    }
+    start_call(from, std::move(request), std::move(metadata).value(),
+               relay_terms{pool, attempts});
+}
+
+void data_plane::refuse_relayed(connection_ptr const& from)
+{
+    net::http_response response;
+    response.status_ = 503;
+    response.headers_.add(relay_fields::result,
+                          relay_fields::result_unreachable);
+    from->answer(response);
+}
+
+void data_plane::on_reach_changed(base::pool_id const& pool)
+{
+    peers_.schedule_reports();
+    if (links_.reach().reaches(pool))
+    {
+        return;
+    }
+    net::asio::post(loop_,
+                    [this, pool]
+                    {
+                        auto const calls = calls_;
+                        for (auto const& [id, waiting] : calls)
+                        {
+                            if (waiting->context().pool_ == pool)
+                            {
+                                waiting->on_pool_unreachable();
+                            }
+                        }
+                    });
+}
+
 void data_plane::start_call(connection_ptr const& from,
                             net::http_request request,
-                            request_metadata metadata)
+                            request_metadata metadata,
+                            std::optional<relay_terms> const& relay)
 {
     auto const found = configuration_->find(host_of(request.headers_),
                                             request.target_, metadata.key_);
+    if (relay && (found.status_ != routing::lookup_status::found ||
+                  !found.route_->has_pool(relay->pool_)))
+    {
+        refuse_relayed(from);
+        return;
+    }
     if (found.status_ == routing::lookup_status::no_route)
     {
         reject(from, 404, "no_route", metadata.request_id_, std::nullopt);
@@ -302,18 +395,30 @@
     context.configuration_ = configuration_;
     context.route_ = found.route_;
     context.workspace_ = found.workspace_;
-    context.pool_ = choose_pool(*found.route_, random_);
+    context.pool_ = relay ? relay->pool_ : choose_pool(*found.route_, random_);
     context.pool_digest_ = routing::digest_of(context.pool_.str());
     context.tier_ = found.tier_;
     context.relative_rank_ = found.relative_rank_;
     context.fingerprint_ = fingerprint_of(
         context.request_, found.workspace_ != nullptr ? found.workspace_->id_
                                                       : base::workspace_id{});
-    retry_budget_.on_request(context.pool_, net::now());
     peers_.on_request();
-    if (!admit(from, context))
+    if (relay)
     {
-        return;
+        // The sender has counted and admitted the request.
+        context.is_relayed_ = true;
+        auto const limited = std::make_shared<routing::route>(*found.route_);
+        limited->max_attempts_ = relay->attempts_;
+        context.limited_route_ = limited;
+        context.route_ = limited.get();
+    }
+    else
+    {
+        retry_budget_.on_request(context.pool_, net::now());
+        if (!admit(from, context))
+        {
+            return;
+        }
     }
     auto const id = context.id_;
     auto const fresh = std::make_shared<call>(*this, from, std::move(context));
@@ -392,6 +497,10 @@
 void data_plane::on_attempt_end(call& running, routing::attempt_outcome end)
 {
     dispatcher_.on_attempt_end(running.context().id_, end, net::now());
+    if (running.is_at_relay())
+    {
+        return;
+    }
     if (end == routing::attempt_outcome::finished)
     {
         crashes_.on_finished(running);
@@ -434,13 +543,13 @@
     routing::target_info const& target, base::duration max_idle,
     std::function<void(std::shared_ptr<net::channel>, net::error_code)> done)
 {
-    channels_.acquire(target, max_idle, std::move(done));
+    links_.acquire(target, max_idle, std::move(done));
 }
 
 void data_plane::release_channel(base::target_id const& target,
                                  std::shared_ptr<net::channel> const& channel)
 {
-    channels_.release(target, channel);
+    links_.release(target, channel);
 }
 
 void data_plane::on_announcement(routing::target_info const& target,
@@ -621,6 +730,7 @@
     usage_schedules_.at(static_cast<std::size_t>(to))
         .add_to(report, quotas_, usage_time, now);
     crashes_.add_to(report, to, usage_time, now);
+    add_reach(report);
     if (registry_changed_at_ != base::time_point::min() &&
         now - registry_changed_at_ <= registry_change_report_time)
     {
@@ -628,6 +738,19 @@
     }
 }
 
+void data_plane::add_reach(routing::peer_report& report) const
+{
+    for (auto const& pool : links_.reach().unreachable_pools())
+    {
+        if (report.unreachable_pools_.size() <
+            routing::peer_report::max_unreachable_pools)
+        {
+            report.unreachable_pools_.push_back(routing::digest_of(pool.str()));
+        }
+    }
+    report.is_cut_off_ = links_.reach().is_cut_off();
+}
+
 void data_plane::on_role_changed(routing::daemon_role role)
 {
     log_.write(log_category::control_plane,
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "src/entry/call.hpp"
-#include "src/entry/channel_pool.hpp"
 #include "src/entry/crash_monitor.hpp"
 #include "src/entry/daemon_directory.hpp"
 #include "src/entry/graceful_shutdown.hpp"
 #include "src/entry/peer_exchange.hpp"
 #include "src/entry/request_metrics.hpp"
 #include "src/entry/stream_origin_exchange.hpp"
+#include "src/entry/target_links.hpp"
 #include "src/net/http_listener.hpp"
 #include "src/routing/quota_limiter.hpp"
 #include "src/routing/retry_budget.hpp"
@@ -121,6 +121,12 @@
     routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
     base::duration retry_after(call const& refused) override;
+    std::optional<routing::target_info>
+    find_relay(base::pool_id const& pool,
+               std::vector<base::target_id> const& tried) override
+    {
+        return links_.find_relay(pool, tried);
+    }
     void acquire_channel(
         routing::target_info const& target, base::duration max_idle,
         std::function<void(std::shared_ptr<net::channel>, net::error_code)>
@@ -151,9 +157,24 @@
 private:
     using connection_ptr = std::shared_ptr<net::caller_connection>;
 
+    /// What another daemon has decided about a request that it passes on.
+    struct relay_terms
+    {
+        base::pool_id pool_;
+        /// How many targets the request may be sent to.
+        int attempts_ = 1;
+    };
+
     void on_request(connection_ptr const& from, net::http_request request);
+    /// A daemon that does not reach a pool passes on a request.
+    void on_relayed_request(connection_ptr const& from,
+                            net::http_request request);
+    /// `relay` is set for a request that another daemon passes on.
     void start_call(connection_ptr const& from, net::http_request request,
-                    request_metadata metadata);
+                    request_metadata metadata,
+                    std::optional<relay_terms> const& relay = std::nullopt);
+    static void refuse_relayed(connection_ptr const& from);
+    void on_reach_changed(base::pool_id const& pool);
     bool admit(connection_ptr const& from, call::request_context& context);
     void reject(connection_ptr const& from, int status, char const* cause,
                 std::string const& request_id,
@@ -168,6 +189,7 @@
     /// Withdraws requests that are in quarantine now from targets.
     void on_quarantine_changed();
     bool is_ready() const;
+    void add_reach(routing::peer_report& report) const;
     routing::daemon_state own_state() const;
     void update_heard_part();
     /// Tells the dispatcher which daemons share the limits of targets.
@@ -191,13 +213,14 @@
     routing::retry_budget retry_budget_;
     routing::quota_limiter quotas_;
     std::map<base::pool_id, routing::pool_latency> latencies_;
-    channel_pool channels_;
+    target_links links_;
     crash_monitor crashes_;
     stream_origin_exchange origins_;
     daemon_directory daemon_directory_;
     request_metrics metrics_;
 
     net::http_listener callers_;
+    net::http_listener relays_;
     net::http_listener health_;
     net::http_listener directory_;
     net::http_listener metrics_listener_;
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -55,6 +55,7 @@
         report.serialize_registry_change(archive);
         report.serialize_limits(archive);
         report.serialize_part_evidence(archive);
+        report.serialize_reach(archive);
     }
     return std::move(out).str();
 }
@@ -129,6 +130,10 @@
         {
             report.serialize_part_evidence(archive);
         }
+        if (has_more(in))
+        {
+            report.serialize_reach(archive);
+        }
         return true;
     }
     catch (cereal::Exception const&)
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -48,6 +48,15 @@
     std::optional<std::uint64_t> last_event_;
 };
 
+/// Data that changes in a request that another daemon is to forward.
+struct relay_metadata
+{
+    base::duration time_left_{};
+    std::optional<std::uint64_t> last_event_;
+    /// See request_metadata.
+    std::string resumed_attempt_;
+};
+
 /// Data of an answer from its header fields.
 struct answer_metadata
 {
@@ -97,6 +106,10 @@
     virtual net::header_list
     forward_headers(net::header_list const& caller,
                     forward_metadata const& metadata) const = 0;
+    /// The fields of the caller's request, for another daemon.
+    virtual net::header_list
+    relay_headers(net::header_list const& caller,
+                  relay_metadata const& metadata) const = 0;
     virtual answer_metadata
     read_answer_metadata(net::http_response const& head) const = 0;
 
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -29,7 +29,8 @@
                                       routing::target_info const& target,
                                       base::time_point connected_at)
 {
-    resolve({routing::digest_of_attempt(attempt), target, connected_at, {}});
+    resolve(
+        {routing::digest_of_attempt(attempt), target, connected_at, {}, {}});
     set_timer();
 }
 
@@ -52,6 +53,28 @@
     }
     origins_.on_begun({origin.attempt_, found.version_}, net::now());
     answer(origin.attempt_, found.version_);
+    if (!origin.askers_.empty())
+    {
+        peers_.send_stream_message(origin.askers_,
+                                   {{{origin.attempt_, found.version_}}, {}});
+    }
+}
+
+void stream_origin_exchange::note_askers(
+    routing::peer_ip from,
+    std::vector<routing::attempt_digest> const& questions)
+{
+    for (auto& origin : unresolved_)
+    {
+        auto const is_asked = std::find(questions.begin(), questions.end(),
+                                        origin.attempt_) != questions.end();
+        auto& askers = origin.askers_;
+        if (is_asked &&
+            std::find(askers.begin(), askers.end(), from) == askers.end())
+        {
+            askers.push_back(from);
+        }
+    }
 }
 
 void stream_origin_exchange::resolve_due()
@@ -93,6 +116,10 @@
     {
         peers_.send_stream_message({from}, reply);
     }
+    if (!message.questions_.empty())
+    {
+        note_askers(from, message.questions_);
+    }
     for (auto const& origin : message.origins_)
     {
         answer(origin.attempt_, origins_.find(origin.attempt_));
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -47,9 +47,13 @@
         routing::target_info target_;
         base::time_point connected_at_;
         base::time_point due_;
+        /// Daemons that have asked for it.
+        std::vector<routing::peer_ip> askers_;
     };
 
     void resolve(unresolved_origin origin);
+    void note_askers(routing::peer_ip from,
+                     std::vector<routing::attempt_digest> const& questions);
     void resolve_due();
     void advance();
     void set_timer();
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -106,6 +106,7 @@
     static constexpr std::size_t max_limits = 16;
     static constexpr std::size_t max_part_crashes = 24;
     static constexpr std::size_t max_part_proofs = 16;
+    static constexpr std::size_t max_unreachable_pools = 16;
 
     /// Random number for each start of the sender.
     std::uint64_t incarnation_ = 0;
@@ -133,6 +134,10 @@
     /// Evidence for and against parts of prompts; see part_quarantine.
     std::vector<part_crash> part_crashes_;
     std::vector<part_proof> part_proofs_;
+    /// Pools to whose targets the sender can open no connection.
+    std::vector<id_digest> unreachable_pools_;
+    /// That holds for all pools.
+    bool is_cut_off_ = false;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -179,6 +184,14 @@
         base::serialize_list(archive, part_crashes_, max_part_crashes);
         base::serialize_list(archive, part_proofs_, max_part_proofs);
     }
+
+    template <class Archive>
+    void serialize_reach(Archive& archive)
+    {
+        base::serialize_list(archive, unreachable_pools_,
+                             max_unreachable_pools);
+        archive(is_cut_off_);
+    }
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -235,13 +235,31 @@
     return out;
 }
 
+std::vector<peer_ip> peer_table::reaching(id_digest pool,
+                                          base::time_point now) const
+{
+    auto out = ready(std::nullopt, now);
+    std::erase_if(
+        out,
+        [&](peer_ip daemon)
+        {
+            auto const& cut = peers_.at(daemon).last_.unreachable_pools_;
+            return std::find(cut.begin(), cut.end(), pool) != cut.end();
+        });
+    return out;
+}
+
 std::vector<peer_ip> peer_table::serving(std::optional<id_digest> data_centre,
                                          base::time_point now) const
 {
     auto out = ready(data_centre, now);
-    std::erase_if(
-        out, [this](peer_ip daemon)
-        { return peers_.at(daemon).last_.role_ != daemon_role::serving; });
+    std::erase_if(out,
+                  [this](peer_ip daemon)
+                  {
+                      auto const& last = peers_.at(daemon).last_;
+                      return last.role_ != daemon_role::serving ||
+                             last.is_cut_off_;
+                  });
     return out;
 }
 
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -68,7 +68,9 @@
     /// centres if none is given.
     std::vector<peer_ip> ready(std::optional<id_digest> data_centre,
                                base::time_point now) const;
-    /// Those of them that callers are sent to.
+    /// Daemons that are ready and reach targets of the pool.
+    std::vector<peer_ip> reaching(id_digest pool, base::time_point now) const;
+    /// Ready daemons that callers are sent to; none that reaches no target.
     std::vector<peer_ip> serving(std::optional<id_digest> data_centre,
                                  base::time_point now) const;
     /// False for a daemon that stands by; true as long as its role is unknown.
--- a/tests/entry/relay_test.cpp
+++ b/tests/entry/relay_test.cpp
@@ -26,7 +26,8 @@
 
 std::vector<step> answer_at_once(std::string const& request)
 {
-    if (request.starts_with("POST /stream/"))
+    if (request.starts_with("POST /stream/") ||
+        request.starts_with("POST /flow/"))
     {
         return {{action::send, stream_head(request) + event_chunk(1) +
                                    event_chunk(2) + stream_end}};
@@ -122,7 +123,8 @@
         for (int i = 0; i < 5; ++i)
         {
             auto const answer = ask(path);
-            CHECK_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+            CHECK_TEXT(answer.starts_with("HTTP/1.1 200"),
+                       (path + std::to_string(i) + answer).c_str());
         }
     }
     LONGS_EQUAL(20, runs());
@@ -159,3 +161,54 @@
     }
     LONGS_EQUAL(0, runs());
 }
+
+TEST(relay, goes_on_with_a_stream_at_the_version_that_began_it)
+{
+    auto const begun = ask("/stream/");
+    CHECK(begun.starts_with("HTTP/1.1 200"));
+    other_.set_registry({target_at("i-0", first_.address())});
+    auto const answer = ask("/stream/", "Last-Event-Id: 1\r\nResumes: r1\r\n");
+    CHECK_TEXT(answer.find("id: 2\n") != std::string::npos, answer.c_str());
+    CHECK(answer.find("id: 1\n") == std::string::npos);
+}
+
+TEST(relay, sends_a_request_to_no_more_targets_than_the_route_allows)
+{
+    auto const fail = [](std::string const& request)
+    {
+        return std::vector<step>{
+            {action::send, complete_answer(request, 500, "no")}};
+    };
+    scripted_target const first{fail};
+    scripted_target const second{fail};
+    scripted_target const third{fail};
+    other_.set_registry({target_at("i-0", first.address()),
+                         target_at("i-1", second.address()),
+                         target_at("i-2", third.address())});
+    auto const runs = [&]
+    {
+        return first.requests().size() + second.requests().size() +
+               third.requests().size();
+    };
+    CHECK(ask("/plain/").starts_with("HTTP/1.1 500"));
+    LONGS_EQUAL(2, runs());
+    CHECK(ask("/once/").starts_with("HTTP/1.1 500"));
+    LONGS_EQUAL(3, runs());
+}
+
+TEST(relay, is_not_open_to_strangers)
+{
+    auto const port = free_port();
+    entry_fixture alone{"127.0.0.4", port};
+    alone.configure();
+    reach(alone);
+    raw_caller caller{{"127.0.0.4", port}};
+    caller.send(entry_fixture::request("/plain/", "",
+                                       "Relay-Attempts: 1\r\nRelay-Pool: "
+                                       "p\r\nRelay-Configuration: 1\r\n"));
+    auto const answer = caller.read_until("\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Relay-Result: unreachable") != std::string::npos);
+    LONGS_EQUAL(0, runs());
+    alone.set_registry({});
+}
