Known red: daemons share the slots of a brittle target by reports only

A target that says Server-Brittle falls over when it turns more than that many requests away in a second for want of room. Nothing reads the field; each daemon takes a slot that looks free, and reports are late. The test fails: two daemons both use the one slot.

--- /dev/null
+++ b/tests/entry/brittle_target_test.cpp
@@ -0,0 +1,65 @@
+#include "tests/entry/fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace tanagerlead;
+using namespace tanagerlead::test;
+
+namespace
+{
+
+std::vector<answer_step> answer_as_brittle(std::string const& request)
+{
+    auto answer = complete_answer(request, 200, "done");
+    answer.insert(answer.find("\r\n") + 2,
+                  "Server-Brittle: 3\r\nConnection: close\r\n");
+    return {{answer_step::action::send, answer},
+            {answer_step::action::close, ""}};
+}
+
+} // namespace
+
+TEST_GROUP(brittle_target)
+{
+    scripted_target target_{answer_as_brittle};
+    std::uint16_t port_ = free_port();
+    entry_fixture first_{"127.0.0.1", port_};
+    entry_fixture second_{"127.0.0.2", port_};
+
+    int ask(entry_fixture & daemon)
+    {
+        raw_caller caller{daemon.callers()};
+        caller.send(
+            entry_fixture::request("/plain/", "", "Connection: close\r\n"));
+        return caller.read_to_end().starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+};
+
+// A slot that two daemons use in turn is full for both when they use it at
+// once.
+TEST(brittle_target, has_its_slots_shared_out_among_the_daemons)
+{
+    for (auto* const daemon : {&first_, &second_})
+    {
+        daemon->configure();
+        daemon->set_targets({&target_});
+    }
+    first_.set_daemons({"127.0.0.2"});
+    second_.set_daemons({"127.0.0.1"});
+    std::this_thread::sleep_for(std::chrono::milliseconds{400});
+    LONGS_EQUAL(1, ask(first_) | ask(second_));
+    std::this_thread::sleep_for(std::chrono::milliseconds{400});
+    int first = 0;
+    int second = 0;
+    for (int i = 0; i < 5; ++i)
+    {
+        first += ask(first_);
+        second += ask(second_);
+    }
+    LONGS_EQUAL(5, first + second);
+    CHECK(first == 0 || second == 0);
+    for (auto* const daemon : {&first_, &second_})
+    {
+        daemon->set_targets({});
+    }
+}
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -12,6 +12,15 @@
 namespace tanagerlead::test
 {
 
+/// A UDP and TCP port that no other process uses now.
+inline std::uint16_t free_port()
+{
+    net::asio::io_context loop;
+    net::tcp::acceptor probe{loop,
+                             {net::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    return probe.local_endpoint().port();
+}
+
 /// Runs a data plane on loopback with a configuration and targets set by the
 /// test.
 class entry_fixture
--- a/tests/entry/relay_test.cpp
+++ b/tests/entry/relay_test.cpp
@@ -15,15 +15,6 @@
 using step = answer_step;
 using action = answer_step::action;
 
-/// A UDP and TCP port that no other process uses now.
-std::uint16_t free_port()
-{
-    net::asio::io_context loop;
-    net::tcp::acceptor probe{loop,
-                             {net::asio::ip::make_address_v4("127.0.0.1"), 0}};
-    return probe.local_endpoint().port();
-}
-
 std::vector<step> answer_at_once(std::string const& request)
 {
     if (request.starts_with("POST /stream/") ||
