The slots of a brittle target are divided among the daemons

A target that says Server-Brittle falls over when it turns too many requests away in a second for want of room. Cause: each daemon takes a slot that looks free, and one more for urgent requests, by reports that are late; nothing read the field. Class: as with the limits that targets name, a bound on the whole fleet that must hold without a message.

The slots of such a target are divided among as many daemons as it has slots, by the rendezvous hashing of target_limits; a daemon uses its own part and no extra slot. What a target says is reported to the others, in turn, until an answer to a later request says so no more.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -502,6 +502,10 @@
     {
         delegate_.on_limit(target_, metadata.limit_, attempt_sent_at_);
     }
+    if (!metadata.is_wrong_target_ && !is_at_relay_)
+    {
+        delegate_.on_brittle(target_, metadata.is_brittle_, attempt_sent_at_);
+    }
     drop_answer_body();
     answer_ = head;
     answer_metadata_ = metadata;
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -218,7 +218,7 @@
         }
     }
     crashes_.set_fleet(daemons);
-    dispatcher_.set_fleet(std::move(daemons), now);
+    dispatcher_.set_fleet(daemons, now);
 }
 
 void data_plane::on_registry_change(routing::registry_change change)
@@ -594,6 +594,22 @@
     peers_.schedule_reports();
 }
 
+void data_plane::on_brittle(routing::target_info const& target, bool is_brittle,
+                            base::time_point sent)
+{
+    auto const now = net::now();
+    if (!dispatcher_.on_brittle(target, is_brittle, sent, now))
+    {
+        return;
+    }
+    log_.write(log_category::target,
+               log_line{is_brittle ? "Target is brittle."
+                                   : "Target is brittle no more."}
+                   .with("target", target.id_.str()),
+               now);
+    peers_.schedule_reports();
+}
+
 // Posted, since a call may be the one that changed the quarantine.
 void data_plane::on_quarantine_changed()
 {
@@ -795,6 +811,10 @@
     {
         dispatcher_.on_limit_reported(statement, now);
     }
+    for (auto const& statement : report.brittle_targets_)
+    {
+        dispatcher_.on_brittle_reported(statement, now);
+    }
     for (auto const& change : report.registry_changes_)
     {
         on_reported_registry_change(change);
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -56,6 +56,7 @@
         report.serialize_limits(archive);
         report.serialize_part_evidence(archive);
         report.serialize_reach(archive);
+        report.serialize_brittle_targets(archive);
     }
     return std::move(out).str();
 }
@@ -134,6 +135,10 @@
         {
             report.serialize_reach(archive);
         }
+        if (has_more(in))
+        {
+            report.serialize_brittle_targets(archive);
+        }
         return true;
     }
     catch (cereal::Exception const&)
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -79,6 +79,8 @@
     std::optional<routing::request_rate> limit_;
     /// It names a limit that cannot be read.
     bool is_limit_malformed_ = false;
+    /// The target falls over if it has to turn many requests away.
+    bool is_brittle_ = false;
 };
 
 /// A caller's request for the addresses of daemons.
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -58,15 +58,16 @@
 
 dispatcher::dispatcher(settings s, peer_table const& peers)
     : settings_{std::move(s)}, peers_{peers}, random_{settings_.seed_},
-      limits_{settings_.self_}
+      limits_{settings_.self_}, brittle_{settings_.self_}
 {
 }
 
 dispatcher::pool_record& dispatcher::pool(base::pool_id const& id)
 {
-    auto const [entry, is_new] = pools_.try_emplace(
-        lane_id{true, id, unknown_version},
-        target_selector{peers_, limits_, settings_.data_centre_, random_});
+    auto const [entry, is_new] =
+        pools_.try_emplace(lane_id{true, id, unknown_version},
+                           target_selector{peers_, limits_, brittle_,
+                                           settings_.data_centre_, random_});
     if (is_new)
     {
         entry->second.digest_ = digest_of(id.str());
@@ -223,6 +224,21 @@
            limits_.on_answer(digest_of(target), limit, sent, now);
 }
 
+bool dispatcher::on_brittle(target_info const& target, bool is_brittle,
+                            base::time_point sent, base::time_point now)
+{
+    if (!is_brittle && brittle_.empty())
+    {
+        return false;
+    }
+    std::optional<request_rate> slots;
+    if (is_brittle)
+    {
+        slots = request_rate{static_cast<double>(target.slots_)};
+    }
+    return brittle_.on_answer(digest_of(target), slots, sent, now);
+}
+
 void dispatcher::on_limit_reported(limit_statement const& statement,
                                    base::time_point now)
 {
@@ -663,6 +679,8 @@
     out.leaving_targets_ =
         announcements_.reported(now, peer_report::max_leaving, first);
     out.limits_ = limits_.reported(now, first, peer_report::max_limits);
+    out.brittle_targets_ =
+        brittle_.reported(now, first, peer_report::max_limits);
     for (auto const& [id, t] : targets_)
     {
         if (t.own_requests_ > 0 &&
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -80,10 +80,22 @@
     /// Another daemon reports what a target said about its limit.
     void on_limit_reported(limit_statement const& statement,
                            base::time_point now);
+    /// The target said in its answer to a request that was sent at `sent` that
+    /// it falls over if it is overfilled, or said so no more. True if that was
+    /// not known.
+    bool on_brittle(target_info const& target, bool is_brittle,
+                    base::time_point sent, base::time_point now);
+    /// Another daemon reports what a target said about that.
+    void on_brittle_reported(limit_statement const& statement,
+                             base::time_point now)
+    {
+        brittle_.on_reported(statement, now);
+    }
     /// The daemons that share the limits of targets; see target_limits.
-    void set_fleet(std::vector<peer_ip> daemons, base::time_point now)
+    void set_fleet(std::vector<peer_ip> const& daemons, base::time_point now)
     {
-        limits_.set_fleet(std::move(daemons), now);
+        limits_.set_fleet(daemons, now);
+        brittle_.set_fleet(daemons, now);
     }
     target_limits const& limits() const { return limits_; }
 
@@ -205,6 +217,8 @@
     std::map<base::target_id, dispatch_target> targets_;
     target_announcements announcements_;
     target_limits limits_;
+    /// The slots of targets that must not be overfilled.
+    target_limits brittle_;
     std::map<lane_id, pool_record> pools_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_call>>
         waiting_;
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -138,6 +138,8 @@
     std::vector<id_digest> unreachable_pools_;
     /// That holds for all pools.
     bool is_cut_off_ = false;
+    /// Targets that must not be overfilled, with their slots as the limit.
+    std::vector<limit_statement> brittle_targets_;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -192,6 +194,12 @@
                              max_unreachable_pools);
         archive(is_cut_off_);
     }
+
+    template <class Archive>
+    void serialize_brittle_targets(Archive& archive)
+    {
+        base::serialize_list(archive, brittle_targets_, max_limits);
+    }
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/stream_origins.cpp
+++ b/src/routing/stream_origins.cpp
@@ -1,7 +1,5 @@
 #include "src/routing/stream_origins.hpp"
 
-#include "src/base/random.hpp"
-
 #include <algorithm>
 
 namespace tanagerlead::routing
@@ -143,10 +141,7 @@
 {
     auto const rank = [self](peer_ip daemon)
     {
-        constexpr auto bits_of_ip = 32;
-        return base::random_source{
-            (static_cast<std::uint64_t>(self) << bits_of_ip) |
-            static_cast<std::uint64_t>(daemon)}();
+        return rendezvous_rank(daemon, static_cast<std::uint64_t>(self));
     };
     auto const count = std::min(others.size(), holder_count);
     std::partial_sort(
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -23,6 +23,8 @@
     /// Time until this daemon may send the next request; nothing if it has no
     /// share of the limit.
     std::optional<base::duration> wait(base::time_point now) const;
+    /// This daemon's part of a limit that counts slots.
+    int slots() const { return static_cast<int>(share_.per_second_); }
 
 private:
     friend class target_limits;
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -129,8 +129,12 @@
     {
         return 0;
     }
-    auto const used = t.own_requests_ + peer_requests;
-    auto const most = t.health_.max_outstanding(t.info_.slots_ + extra, now);
+    // Reports are late, so the slots of a brittle target are divided among the
+    // daemons.
+    auto const* const own_part = brittle_->find(t.incarnation_);
+    auto const used = t.own_requests_ + (own_part ? 0 : peer_requests);
+    auto const slots = own_part ? own_part->slots() : t.info_.slots_ + extra;
+    auto const most = t.health_.max_outstanding(slots, now);
     auto const free = std::max(0, most - used);
     auto const* const limit = limit_of(t);
     return limit == nullptr ? free : std::min(free, limit->available(now));
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -52,10 +52,12 @@
 {
 public:
     /// The arguments must outlive the selector.
+    /// `brittle` holds the slots of the targets that must not be overfilled.
     target_selector(peer_table const& peers, target_limits const& limits,
+                    target_limits const& brittle,
                     base::data_centre_id const& local_data_centre,
                     base::random_source& random)
-        : peers_{&peers}, limits_{&limits},
+        : peers_{&peers}, limits_{&limits}, brittle_{&brittle},
           local_data_centre_{&local_data_centre}, random_{&random}
     {
     }
@@ -125,6 +127,7 @@
 
     peer_table const* peers_;
     target_limits const* limits_;
+    target_limits const* brittle_;
     base::data_centre_id const* local_data_centre_;
     base::random_source* random_;
     std::vector<dispatch_target*> targets_;
--- a/tests/platform/wire_protocol_test.cpp
+++ b/tests/platform/wire_protocol_test.cpp
@@ -272,6 +272,15 @@
     CHECK(!without.limit_ && !without.is_limit_malformed_);
 }
 
+TEST(wire_protocol, reads_that_a_target_is_brittle)
+{
+    net::http_response head;
+    head.status_ = 200;
+    CHECK(!protocol_.read_answer_metadata(head).is_brittle_);
+    head.headers_.add("Server-Brittle", "12");
+    CHECK(protocol_.read_answer_metadata(head).is_brittle_);
+}
+
 TEST(wire_protocol, answers_resolve_requests)
 {
     auto const q = protocol_.read_directory_query(
--- /dev/null
+++ b/tests/routing/brittle_fleet_test.cpp
@@ -0,0 +1,118 @@
+#include "tests/routing/fixtures.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <memory>
+
+using namespace tanagerlead;
+using namespace tanagerlead::routing;
+using namespace tanagerlead::routing::testing;
+
+namespace
+{
+
+constexpr int target_count = 12;
+constexpr int slots = 6;
+
+/// Daemons that hear nothing of each other's requests, as if all reports were
+/// lost or late, and know who belongs to the fleet.
+class deaf_fleet
+{
+public:
+    explicit deaf_fleet(std::size_t daemons)
+    {
+        std::vector<peer_ip> all;
+        for (std::uint32_t i = 0; i < daemons; ++i)
+        {
+            all.push_back(peer_ip{i});
+        }
+        for (int t = 0; t < target_count; ++t)
+        {
+            targets_.push_back(target("t" + std::to_string(t), slots));
+        }
+        for (auto const self : all)
+        {
+            dispatchers_.push_back(std::make_unique<dispatcher>(
+                dispatcher::settings{base::data_centre_id{"near"},
+                                     static_cast<std::uint64_t>(self), self},
+                peers_));
+            dispatchers_.back()->set_fleet(all, at(0s));
+            dispatchers_.back()->set_targets(targets_);
+        }
+    }
+
+    /// One daemon hears it from the targets, the others from its reports, which
+    /// come late and twice.
+    void make_brittle()
+    {
+        for (auto const& t : targets_)
+        {
+            dispatchers_.front()->on_brittle(t, true, at(1s), at(1s));
+        }
+        peer_report report;
+        dispatchers_.front()->report_usage(report, at(1100ms));
+        for (auto const& d : dispatchers_)
+        {
+            for (int copy = 0; copy < 2; ++copy)
+            {
+                for (auto const& statement : report.brittle_targets_)
+                {
+                    d->on_brittle_reported(statement, at(2s));
+                }
+            }
+        }
+    }
+
+    /// More requests than the targets have slots. Returns how many each target
+    /// gets.
+    std::map<std::string, int> flood()
+    {
+        std::map<std::string, int> out;
+        std::uint64_t number = 0;
+        for (auto const& d : dispatchers_)
+        {
+            for (int i = 0; i < 2 * target_count * slots; ++i)
+            {
+                auto request = call(++number);
+                request.urgent_ = true;
+                d->submit(request, at(3s));
+            }
+            std::vector<sched::action> actions;
+            d->advance(at(3s), actions);
+            for (auto const& action : actions)
+            {
+                if (auto const* const g = std::get_if<sched::grant>(&action))
+                {
+                    ++out[g->target_.str()];
+                }
+            }
+        }
+        return out;
+    }
+
+private:
+    peer_table peers_;
+    std::vector<target_info> targets_;
+    std::vector<std::unique_ptr<dispatcher>> dispatchers_;
+};
+
+} // namespace
+
+TEST_GROUP(brittle_fleet){};
+
+TEST(brittle_fleet, never_overfills_a_target)
+{
+    for (std::size_t const daemons : {1, 7, 75, 295})
+    {
+        deaf_fleet fleet{daemons};
+        fleet.make_brittle();
+        auto const sent = fleet.flood();
+        LONGS_EQUAL(target_count, sent.size());
+        for (auto const& [target, count] : sent)
+        {
+            CHECK_TEXT(count <= slots, target.c_str());
+            CHECK_TEXT(2 * count >= slots, target.c_str());
+        }
+    }
+}
