Soak: targets of two software versions, callers that take up streams

Targets get another version with each start, and callers take up a stream that broke off once, at any daemon, with Resumes and Last-Event-Id. The ledger holds that a stream goes on only at a version that may have begun it, and that the rest is whole.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -39,6 +39,23 @@
     ++known->second.runs_;
 }
 
+// A request that was sent twice before its first event may have begun at two
+// versions; what goes on must be one of them.
+void ledger::on_stream(std::string const& first_id, std::string const& version,
+                       bool goes_on)
+{
+    auto& versions = stream_versions_[first_id];
+    if (!goes_on)
+    {
+        versions.insert(version);
+    }
+    else if (!versions.contains(version))
+    {
+        fail("stream " + first_id + " goes on at version " + version +
+             ", which did not begin it");
+    }
+}
+
 void ledger::on_end(std::string const& id, int status)
 {
     auto& r = records_.at(id);
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,10 @@
     void on_sent(std::string const& id, request_kind kind, bool limited);
     /// A target began to run it.
     void on_run(std::string const& id);
+    /// A target of this version begins to answer the stream of an attempt, or
+    /// goes on with it.
+    void on_stream(std::string const& first_id, std::string const& version,
+                   bool goes_on);
     /// The caller's end of it; 0: without a whole answer.
     void on_end(std::string const& id, int status);
     /// Something that must not happen.
@@ -66,6 +71,8 @@
     void check_quota(double seconds);
 
     std::map<std::string, record> records_;
+    /// Versions that may have brought the first event of a stream.
+    std::map<std::string, std::set<std::string>> stream_versions_;
     std::vector<std::string> broken_;
     std::uint64_t free_sent_ = 0;
     std::uint64_t free_answered_ = 0;
--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -206,7 +206,7 @@
         // The connection breaks with the target.
         return;
     }
-    auto const fresh = std::make_shared<run>(run{from, id, 1, nullptr});
+    auto const fresh = std::make_shared<run>(run{from, id, id, 1, nullptr});
     auto* const r = fresh.get();
     runs_.emplace(r, fresh);
     from->on_disconnect([this, r] { end(*r); });
@@ -214,6 +214,9 @@
     {
         auto const last = in.headers_.value("Last-Event-Id");
         r->next_event_ = last.empty() ? 1 : std::stoi(last) + 1;
+        auto const resumed = in.headers_.value("Resumes");
+        r->first_id_ = resumed.empty() ? id : resumed;
+        ledger_.on_stream(r->first_id_, version(), !last.empty());
         auto head = head_for(id);
         head.headers_.add("Content-Type", "text/event-stream");
         from->begin_answer(head);
@@ -239,14 +242,14 @@
 void platform_target::answer_event(run& r)
 {
     auto const to = r.to_;
-    if (r.next_event_ > expected_events(r.id_))
+    if (r.next_event_ > expected_events(r.first_id_))
     {
         end(r);
         to->end_answer();
         return;
     }
     auto const number = std::to_string(r.next_event_);
-    to->send_chunk("id: " + number + "\ndata: " + r.id_ + " " + number +
+    to->send_chunk("id: " + number + "\ndata: " + r.first_id_ + " " + number +
                    "\n\n");
     ++r.next_event_;
     r.due_->set_after(event_time);
--- a/tests/soak/platform_target.hpp
+++ b/tests/soak/platform_target.hpp
@@ -26,6 +26,11 @@
     base::address address() const { return address_; }
     /// Changes with each start.
     std::string const& id() const { return id_; }
+    /// Of its software; changes with each start.
+    std::string version() const
+    {
+        return std::to_string((number_ + incarnation_) % 2);
+    }
 
     /// Ends at once, with all requests that it runs.
     void crash();
@@ -63,6 +68,8 @@
     {
         connection_ptr to_;
         std::string id_;
+        /// The attempt that began the stream; its events are made from that.
+        std::string first_id_;
         int next_event_ = 1;
         std::unique_ptr<net::deadline_timer> due_;
     };
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -135,8 +135,12 @@
 void soak_caller::send()
 {
     static constexpr std::array paths{"/plain/", "/post/", "/stream/"};
-    kind_ = static_cast<request_kind>(random_.below(paths.size()));
     id_ = "c" + std::to_string(number_) + "-" + std::to_string(++count_);
+    if (last_event_ == 0)
+    {
+        kind_ = static_cast<request_kind>(random_.below(paths.size()));
+        first_id_ = id_;
+    }
     sent_at_ = net::now();
     answer_ = {};
     ledger_.on_sent(id_, kind_, number_ % 2 != 0);
@@ -151,6 +155,11 @@
         "Tanagerlead-Deadline-Ms",
         std::to_string(static_cast<int>(base::milliseconds(time_limit))));
     request.headers_.add("Tanagerlead-Prompt-Prefix", make_prompt_parts());
+    if (last_event_ > 0)
+    {
+        request.headers_.add("Resumes", first_id_);
+        request.headers_.add("Last-Event-Id", std::to_string(last_event_));
+    }
     request.headers_.add("X-Api-Key", number_ % 2 == 0 ? "key-a" : "key-b");
     late_.set_after(time_limit + late_margin);
     channel_->exchange(request, *this);
@@ -187,6 +196,7 @@
         check_whole();
     }
     check_refusal();
+    last_event_ = 0;
     finish(answer_.status_);
 }
 
@@ -220,11 +230,11 @@
 void soak_caller::check_events()
 {
     std::string whole;
-    for (int i = 1; i <= expected_events(id_); ++i)
+    for (int i = last_event_ + 1; i <= expected_events(first_id_); ++i)
     {
         auto const number = std::to_string(i);
         whole.append("id: ").append(number).append("\ndata: ");
-        whole.append(id_).append(" ").append(number).append("\n\n");
+        whole.append(first_id_).append(" ").append(number).append("\n\n");
     }
     if (answer_.body_ != whole)
     {
@@ -233,11 +243,31 @@
     }
 }
 
+// A stream that broke off is taken up once, at any daemon.
 void soak_caller::on_broken(std::string const& /*detail*/)
 {
+    auto const was_taken_up = last_event_ > 0;
+    last_event_ = 0;
+    if (kind_ == request_kind::stream && answer_.status_ == 200 &&
+        !was_taken_up)
+    {
+        last_event_ = count_events(answer_.body_);
+    }
     finish(0);
 }
 
+int soak_caller::count_events(std::string const& stream)
+{
+    constexpr std::string_view end_of_event = "\n\n";
+    int count = 0;
+    for (auto at = stream.find(end_of_event); at != std::string::npos;
+         at = stream.find(end_of_event, at + end_of_event.size()))
+    {
+        ++count;
+    }
+    return count;
+}
+
 void soak_caller::on_late()
 {
     auto const daemon = channel_->peer();
@@ -247,6 +277,7 @@
                      daemon.str());
     }
     channel_->close();
+    last_event_ = 0;
     finish(0);
 }
 
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -56,6 +56,7 @@
     void check_events();
     void finish(int status);
     void on_late();
+    static int count_events(std::string const& stream);
     base::duration pause();
 
     net::asio::io_context& loop_;
@@ -72,6 +73,10 @@
     request_kind kind_ = request_kind::idempotent;
     /// Of the request under way.
     std::string id_;
+    /// The attempt that brought the first event of the stream.
+    std::string first_id_;
+    /// The request takes a stream up after this event; 0: it does not.
+    int last_event_ = 0;
     int count_ = 0;
     /// The request has the part that crashes targets.
     bool is_crashing_ = false;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -231,7 +231,7 @@
     place.state_ = state;
     json const entry{
         {"Service", "pool"}, {"Address", place.relay_->address().str()},
-        {"Zone", "z0"},      {"Version", "1"},
+        {"Zone", "z0"},      {"Version", place.target_->version()},
         {"Slots", 8},        {"State", state},
         {"Seq", 1}};
     store_.put("servers/" + place.target_->id(), entry.dump());
