One way to end an attempt before its request is sent

Three places of a call gave the connection back, forgot it and ended the attempt as cancelled: a request in quarantine, and the two ends of a resumption that cannot prove its version. They call abandon_unsent now.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -231,9 +231,7 @@
     auto const permission = delegate_.ask_to_send(*this);
     if (permission == send_permission::denied)
     {
-        delegate_.release_channel(target_.id_, channel_);
-        channel_.reset();
-        end_attempt(attempt_outcome::cancelled);
+        abandon_unsent();
         refuse_quarantined();
         return;
     }
@@ -241,6 +239,13 @@
     send();
 }
 
+void call::abandon_unsent()
+{
+    delegate_.release_channel(target_.id_, channel_);
+    channel_.reset();
+    end_attempt(attempt_outcome::cancelled);
+}
+
 void call::refuse_quarantined()
 {
     auto const verdict =
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -202,6 +202,9 @@
                          net::error_code const& error);
     void send_if_permitted();
     void send();
+    /// Ends an attempt before the request is sent; the connection may be used
+    /// again.
+    void abandon_unsent();
     void refuse_quarantined();
     void forward_events();
     void send_to_caller(std::string_view bytes);
--- a/src/entry/call_versions.cpp
+++ b/src/entry/call_versions.cpp
@@ -7,7 +7,6 @@
 {
 
 using namespace std::chrono_literals;
-using routing::attempt_outcome;
 
 namespace
 {
@@ -107,9 +106,7 @@
 // Other targets would not be known any better.
 void call::give_up_resumption()
 {
-    delegate_.release_channel(target_.id_, channel_);
-    channel_.reset();
-    end_attempt(attempt_outcome::cancelled);
+    abandon_unsent();
     if (progress_.answer_started_)
     {
         apply_verdict(routing::retry_decision::truncate, "unknown_version");
@@ -121,10 +118,8 @@
 
 void call::try_next_target()
 {
-    delegate_.release_channel(target_.id_, channel_);
-    channel_.reset();
+    abandon_unsent();
     tried_.push_back(target_.id_);
-    end_attempt(attempt_outcome::cancelled);
     state_ = state::waiting;
     submit();
 }
