The store client reads one key and swaps it by revision

Cause: origins of streams that outlive all daemons, the proof of a target's version after a connect, and the status of a roll-out each need one item read as it is now, or written only if nobody else has changed it. The client could list, watch and write without a condition only.

Measured: store_client tests for both, a conflict and an answer without an item.

--- a/src/entry/metadata_store.hpp
+++ b/src/entry/metadata_store.hpp
@@ -19,6 +19,12 @@
 {
 };
 
+/// The item is written without a lease and stays until it is removed.
+inline constexpr store_lease no_store_lease{0};
+
+/// Revision of an item that does not exist.
+inline constexpr store_revision no_store_revision{0};
+
 /// Era of an answer that names none.
 inline constexpr store_era unknown_store_era{0};
 
@@ -78,11 +84,22 @@
     virtual void watch(std::string const& prefix, store_revision after,
                        base::duration wait,
                        result_callback<store_changes> done) = 0;
+    /// Reads one item as it is now. `not_found`: there is none.
+    virtual void read(std::string const& key,
+                      result_callback<store_item> done) = 0;
     virtual void grant_lease(base::duration ttl,
                              result_callback<store_lease> done) = 0;
     virtual void renew_lease(store_lease lease, result_callback<void> done) = 0;
     virtual void put(std::string const& key, std::string const& value,
                      store_lease lease, result_callback<void> done) = 0;
+    /// Writes the item only if its revision is `expected`, or, if that is
+    /// `no_store_revision`, only if there is none. Passes the new revision.
+    /// `conflict`: the item has another revision. After `unknown_effect` only a
+    /// reading tells whether it was written.
+    virtual void compare_and_swap(std::string const& key,
+                                  store_revision expected,
+                                  std::string const& value, store_lease lease,
+                                  result_callback<store_revision> done) = 0;
     virtual void remove(std::string const& key, result_callback<void> done) = 0;
 };
 
--- a/tests/entry/fake_store.hpp
+++ b/tests/entry/fake_store.hpp
@@ -34,6 +34,32 @@
         result_callback<void> done_;
     };
 
+    struct read_call
+    {
+        std::string key_;
+        result_callback<entry::store_item> done_;
+    };
+
+    struct swap_call
+    {
+        std::string key_;
+        entry::store_revision expected_;
+        std::string value_;
+        result_callback<entry::store_revision> done_;
+    };
+
+    void read(std::string const& key,
+              result_callback<entry::store_item> done) override
+    {
+        reads_.push_back({key, std::move(done)});
+    }
+    void compare_and_swap(std::string const& key,
+                          entry::store_revision expected,
+                          std::string const& value, entry::store_lease,
+                          result_callback<entry::store_revision> done) override
+    {
+        swaps_.push_back({key, expected, value, std::move(done)});
+    }
     void list(std::string const& prefix, std::string const& after, bool,
               result_callback<entry::store_page> done) override
     {
@@ -82,6 +108,8 @@
     std::deque<result_callback<entry::store_lease>> grants_;
     std::deque<result_callback<void>> renewals_;
     std::deque<put_call> puts_;
+    std::deque<read_call> reads_;
+    std::deque<swap_call> swaps_;
     std::deque<std::string> removed_;
     era_callback observe_era_;
 };
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -128,6 +128,72 @@
     CHECK(seen.find(R"("Lease":7)") != std::string::npos);
 }
 
+TEST(store_client, reads_one_item)
+{
+    scripted_target store{
+        [](std::string const&)
+        {
+            return json_answer(
+                200, R"({"Key":"a b","Value":"aGk=","Revision":412})");
+        }};
+    auto const got =
+        run<entry::store_item>(store, [](store_client& c, auto done)
+                               { c.read("a b", std::move(done)); });
+    CHECK(got.has_value());
+    STRCMP_EQUAL("hi", got.value().value_.c_str());
+    CHECK(got.value().revision_ == entry::store_revision{412});
+    CHECK(store.requests()[0].starts_with("GET /v1/kv-key?Key=a%20b "));
+}
+
+TEST(store_client, an_answer_without_an_item_is_corrupt)
+{
+    scripted_target store{[](std::string const&)
+                          {
+                              return json_answer(200, "{}");
+                          }};
+    auto const got =
+        run<entry::store_item>(store, [](store_client& c, auto done)
+                               { c.read("a", std::move(done)); });
+    CHECK(got.error().code_ == base::error_code::corrupt);
+}
+
+TEST(store_client, swaps_an_item_of_the_expected_revision)
+{
+    scripted_target store{[](std::string const&)
+                          {
+                              return json_answer(200, R"({"Revision":9})");
+                          }};
+    auto const got = run<entry::store_revision>(
+        store,
+        [](store_client& c, auto done)
+        {
+            c.compare_and_swap("k", entry::store_revision{8}, "hi",
+                               entry::no_store_lease, std::move(done));
+        });
+    CHECK(got.has_value());
+    CHECK(got.value() == entry::store_revision{9});
+    auto const seen = store.requests()[0];
+    CHECK(seen.find(R"("ExpectedRevision":[{"Key":"k","Revision":8}])") !=
+          std::string::npos);
+    CHECK(seen.find(R"("Lease":0)") != std::string::npos);
+}
+
+TEST(store_client, a_swap_of_another_revision_is_a_conflict)
+{
+    scripted_target store{[](std::string const&)
+                          {
+                              return json_answer(412, R"({"Items":[]})");
+                          }};
+    auto const got = run<entry::store_revision>(
+        store,
+        [](store_client& c, auto done)
+        {
+            c.compare_and_swap("k", entry::no_store_revision, "hi",
+                               entry::no_store_lease, std::move(done));
+        });
+    CHECK(got.error().code_ == base::error_code::conflict);
+}
+
 TEST(store_client, maps_each_failure_to_an_error_code)
 {
     for (auto const& c : fault_cases)
