Datagrams of older and newer builds are understood section by section

Cause: a report or stream message whose first word differed from the one of the own build was dropped whole, and so was one with a longer list or one damaged section. The first change of either would have split the fleet in the middle of an upgrade.

Change: entry::report_codec. A daemon in an unknown state takes no requests.

--- a/src/base/serialization.hpp
+++ b/src/base/serialization.hpp
@@ -49,4 +49,31 @@
     }
 }
 
+/// Like `serialize_list`, but loading keeps the first `most` items and passes
+/// over the others, since a sender of another build may send more.
+template <class Archive, class Item>
+void serialize_start_of_list(Archive& archive, std::vector<Item>& items,
+                             std::size_t most)
+{
+    if constexpr (Archive::is_loading::value)
+    {
+        std::uint16_t count = 0;
+        archive(count);
+        items.clear();
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            Item item{};
+            archive(item);
+            if (items.size() < most)
+            {
+                items.push_back(item);
+            }
+        }
+    }
+    else
+    {
+        serialize_list(archive, items, most);
+    }
+}
+
 } // namespace tanagerlead::base
--- a/src/entry/peer_exchange.cpp
+++ b/src/entry/peer_exchange.cpp
@@ -1,11 +1,9 @@
 #include "src/entry/peer_exchange.hpp"
 
+#include "src/entry/report_codec.hpp"
+
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/interprocess/streams/bufferstream.hpp>
 #include <boost/outcome/try.hpp>
-#include <cereal/archives/binary.hpp>
-
-#include <sstream>
 
 namespace tanagerlead::entry
 {
@@ -40,114 +38,6 @@
                                          {0ms, 0ms, 0ms, 14, 2s},
                                          {0ms, 0ms, 0ms, 200, 2s}}};
 
-/// Identify the formats of datagrams. Those with another value are dropped.
-constexpr std::uint32_t report_format = 0x544c5201;
-constexpr std::uint32_t stream_message_format = 0x544c5301;
-
-std::string serialize_report(routing::peer_report& report)
-{
-    std::ostringstream out;
-    {
-        cereal::BinaryOutputArchive archive{out};
-        archive(report_format, report);
-        report.serialize_leaving(archive);
-        report.serialize_role(archive);
-        report.serialize_registry_change(archive);
-        report.serialize_limits(archive);
-        report.serialize_part_evidence(archive);
-        report.serialize_reach(archive);
-        report.serialize_brittle_targets(archive);
-    }
-    return std::move(out).str();
-}
-
-bool has_more(std::istream& in)
-{
-    return in.peek() != std::istream::traits_type::eof();
-}
-
-std::string serialize_stream_message(routing::stream_message& message)
-{
-    std::ostringstream out;
-    {
-        cereal::BinaryOutputArchive archive{out};
-        archive(stream_message_format, message);
-    }
-    return std::move(out).str();
-}
-
-bool deserialize_stream_message(std::string_view bytes,
-                                routing::stream_message& message)
-{
-    boost::interprocess::ibufferstream in{bytes.data(), bytes.size()};
-    try
-    {
-        cereal::BinaryInputArchive archive{in};
-        std::uint32_t format = 0;
-        archive(format);
-        if (format != stream_message_format)
-        {
-            return false;
-        }
-        archive(message);
-        return true;
-    }
-    catch (cereal::Exception const&)
-    {
-        return false;
-    }
-}
-
-bool deserialize_report(std::string_view bytes, routing::peer_report& report)
-{
-    boost::interprocess::ibufferstream in{bytes.data(), bytes.size()};
-    try
-    {
-        cereal::BinaryInputArchive archive{in};
-        std::uint32_t format = 0;
-        archive(format);
-        if (format != report_format)
-        {
-            return false;
-        }
-        archive(report);
-        if (has_more(in))
-        {
-            report.serialize_leaving(archive);
-        }
-        if (has_more(in))
-        {
-            report.serialize_role(archive);
-        }
-        if (has_more(in))
-        {
-            report.serialize_registry_change(archive);
-        }
-        if (has_more(in))
-        {
-            report.serialize_limits(archive);
-        }
-        if (has_more(in))
-        {
-            report.serialize_part_evidence(archive);
-        }
-        if (has_more(in))
-        {
-            report.serialize_reach(archive);
-        }
-        if (has_more(in))
-        {
-            report.serialize_brittle_targets(archive);
-        }
-        return true;
-    }
-    catch (cereal::Exception const&)
-    {
-        // The datagram is truncated or damaged; the next report replaces it.
-        return false;
-    }
-}
-
 } // namespace
 
 std::optional<routing::peer_ip> parse_peer_ip(std::string const& ip)
@@ -412,7 +302,7 @@
         schedule.addresses_sent_at_ = now;
         add_known_addresses(report, now);
     }
-    auto const bytes = serialize_report(report);
+    auto const bytes = write_report(report);
     for (auto const peer : to)
     {
         port_.send(static_cast<std::uint32_t>(peer), bytes);
@@ -435,7 +325,7 @@
 void peer_exchange::send_stream_message(std::vector<routing::peer_ip> const& to,
                                         routing::stream_message message)
 {
-    auto const bytes = serialize_stream_message(message);
+    auto const bytes = write_stream_message(message);
     for (auto const peer : to)
     {
         port_.send(static_cast<std::uint32_t>(peer), bytes);
@@ -446,16 +336,13 @@
 void peer_exchange::on_datagram(std::uint32_t from, std::string_view bytes)
 {
     auto const sender = routing::peer_ip{from};
-    routing::stream_message message;
-    if (deserialize_stream_message(bytes, message))
+    if (auto const message = read_stream_message(bytes))
     {
-        delegate_.on_stream_message(sender, message);
-        return;
+        delegate_.on_stream_message(sender, *message);
     }
-    routing::peer_report report;
-    if (deserialize_report(bytes, report))
+    else if (auto const report = read_report(bytes))
     {
-        on_report(sender, report);
+        on_report(sender, *report);
     }
 }
 
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -146,19 +146,24 @@
     {
         archive(incarnation_, sequence_number_, state_, data_centre_,
                 config_version_);
-        base::serialize_list(archive, in_flight_, max_targets);
-        base::serialize_list(archive, waiting_, max_waiting);
-        base::serialize_list(archive, spent_, max_spent);
-        base::serialize_list(archive, crashes_, max_crashes);
-        base::serialize_list(archive, known_peers_, max_addresses);
+        // A state that a later build has added is not known to take requests.
+        if (state_ > daemon_state::leaving)
+        {
+            state_ = daemon_state::starting;
+        }
+        base::serialize_start_of_list(archive, in_flight_, max_targets);
+        base::serialize_start_of_list(archive, waiting_, max_waiting);
+        base::serialize_start_of_list(archive, spent_, max_spent);
+        base::serialize_start_of_list(archive, crashes_, max_crashes);
+        base::serialize_start_of_list(archive, known_peers_, max_addresses);
     }
 
-    /// The parts that follow the report. Daemons of earlier versions neither
-    /// send nor read them.
+    /// The sections that follow the report; see entry::write_report. Daemons of
+    /// other builds may neither send nor know some of them.
     template <class Archive>
     void serialize_leaving(Archive& archive)
     {
-        base::serialize_list(archive, leaving_targets_, max_leaving);
+        base::serialize_start_of_list(archive, leaving_targets_, max_leaving);
     }
 
     template <class Archive>
@@ -171,34 +176,35 @@
     template <class Archive>
     void serialize_registry_change(Archive& archive)
     {
-        base::serialize_list(archive, registry_changes_, max_registry_changes);
+        base::serialize_start_of_list(archive, registry_changes_,
+                                      max_registry_changes);
     }
 
     template <class Archive>
     void serialize_limits(Archive& archive)
     {
-        base::serialize_list(archive, limits_, max_limits);
+        base::serialize_start_of_list(archive, limits_, max_limits);
     }
 
     template <class Archive>
     void serialize_part_evidence(Archive& archive)
     {
-        base::serialize_list(archive, part_crashes_, max_part_crashes);
-        base::serialize_list(archive, part_proofs_, max_part_proofs);
+        base::serialize_start_of_list(archive, part_crashes_, max_part_crashes);
+        base::serialize_start_of_list(archive, part_proofs_, max_part_proofs);
     }
 
     template <class Archive>
     void serialize_reach(Archive& archive)
     {
-        base::serialize_list(archive, unreachable_pools_,
-                             max_unreachable_pools);
+        base::serialize_start_of_list(archive, unreachable_pools_,
+                                      max_unreachable_pools);
         archive(is_cut_off_);
     }
 
     template <class Archive>
     void serialize_brittle_targets(Archive& archive)
     {
-        base::serialize_list(archive, brittle_targets_, max_limits);
+        base::serialize_start_of_list(archive, brittle_targets_, max_limits);
     }
 };
 
--- a/src/routing/stream_origin.hpp
+++ b/src/routing/stream_origin.hpp
@@ -69,8 +69,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        base::serialize_list(archive, origins_, max_items);
-        base::serialize_list(archive, questions_, max_items);
+        base::serialize_start_of_list(archive, origins_, max_items);
+        base::serialize_start_of_list(archive, questions_, max_items);
     }
 };
 
