A daemon without a slot at brittle targets passes its requests on

Cause: the slots of targets that fall over when they are overfilled are divided among the daemons, and a daemon that got none refused its callers, though other daemons had room.

Change: such a daemon passes a request on to one that has a slot, over the relay that serves daemons which reach no target. brittle_target_test asserted that one of two daemons serves nobody; it now asserts that both serve all, and brittle_fleet_test that just one of three daemons has the slot and that the others name it.

Measured: brittle_target and brittle_fleet fail on the code before, pass now.

--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -97,6 +97,10 @@
     virtual std::optional<routing::target_info>
     find_relay(base::pool_id const& pool,
                std::vector<base::target_id> const& tried) = 0;
+    /// A daemon that may run a waiting request which this one may not, since it
+    /// has a slot at a brittle target.
+    virtual std::optional<routing::target_info>
+    find_substitute(call const& waiting) = 0;
     /// Called once at the end of a call, which is destroyed soon after.
     virtual void on_call_finished(call& finished, call_outcome outcome,
                                   std::string const& cause) = 0;
@@ -169,6 +173,8 @@
     base::time_point received() const { return received_; }
     base::time_point deadline() const { return deadline_; }
     base::target_id const& target() const { return target_.id_; }
+    /// Targets and daemons that the request was sent to.
+    std::vector<base::target_id> const& tried() const { return tried_; }
     routing::target_info const& target_record() const { return target_; }
     base::software_version const& version() const { return target_.version_; }
     std::optional<base::time_point> first_byte_at() const
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -28,6 +28,10 @@
 bool call::try_relay()
 {
     auto relay = find_relay();
+    if (!relay && !context_.is_relayed_ && relays_tried_ < max_relays)
+    {
+        relay = delegate_.find_substitute(*this);
+    }
     if (!relay)
     {
         return false;
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -129,6 +129,8 @@
     {
         return links_.find_relay(pool, tried);
     }
+    std::optional<routing::target_info>
+    find_substitute(call const& waiting) override;
     void acquire_channel(
         routing::target_info const& target, base::duration max_idle,
         std::function<void(std::shared_ptr<net::channel>, net::error_code)>
--- a/src/entry/data_plane_relay.cpp
+++ b/src/entry/data_plane_relay.cpp
@@ -47,6 +47,15 @@
     from->answer(response);
 }
 
+std::optional<routing::target_info>
+data_plane::find_substitute(call const& waiting)
+{
+    auto const& pool = waiting.context().pool_;
+    auto const owner = dispatcher_.find_slot_owner(pool);
+    return owner ? links_.relay_at(*owner, pool, waiting.tried())
+                 : std::nullopt;
+}
+
 void data_plane::on_reach_changed(base::pool_id const& pool)
 {
     peers_.schedule_reports();
--- a/src/entry/target_links.cpp
+++ b/src/entry/target_links.cpp
@@ -36,7 +36,10 @@
         {
             if (!connected)
             {
-                avoided_[relay.id_] = net::now() + relay_backoff;
+                auto const now = net::now();
+                std::erase_if(avoided_, [now](auto const& avoided)
+                              { return avoided.second <= now; });
+                avoided_[relay.id_] = now + relay_backoff;
             }
         });
 }
@@ -94,6 +97,23 @@
     (is_relay(target) ? relays_ : targets_).release(target, channel);
 }
 
+std::optional<routing::target_info>
+target_links::relay_at(routing::peer_ip peer, base::pool_id const& pool,
+                       std::vector<base::target_id> const& tried) const
+{
+    routing::target_info relay;
+    relay.id_ = base::target_id{relay_prefix + to_string(peer)};
+    relay.pool_ = pool;
+    relay.address_ = {to_string(peer), relay_port_};
+    auto const avoided = avoided_.find(relay.id_);
+    auto const is_avoided =
+        avoided != avoided_.end() && avoided->second > net::now();
+    auto const was_tried =
+        std::find(tried.begin(), tried.end(), relay.id_) != tried.end();
+    return is_avoided || was_tried ? std::nullopt
+                                   : std::optional{std::move(relay)};
+}
+
 std::optional<routing::target_info>
 target_links::find_relay(base::pool_id const& pool,
                          std::vector<base::target_id> const& tried)
@@ -102,10 +122,7 @@
     {
         return std::nullopt;
     }
-    auto const now = net::now();
-    std::erase_if(avoided_,
-                  [now](auto const& avoided) { return avoided.second <= now; });
-    auto peers = peers_.reaching(routing::digest_of(pool.str()), now);
+    auto peers = peers_.reaching(routing::digest_of(pool.str()), net::now());
     // What daemons on standby report is old.
     auto const standby = std::partition(peers.begin(), peers.end(),
                                         [this](routing::peer_ip peer)
@@ -117,15 +134,9 @@
     std::vector<routing::target_info> candidates;
     for (auto const peer : peers)
     {
-        routing::target_info relay;
-        relay.id_ = base::target_id{relay_prefix + to_string(peer)};
-        relay.pool_ = pool;
-        relay.address_ = {to_string(peer), relay_port_};
-        auto const was_tried =
-            std::find(tried.begin(), tried.end(), relay.id_) != tried.end();
-        if (!was_tried && !avoided_.contains(relay.id_))
+        if (auto relay = relay_at(peer, pool, tried))
         {
-            candidates.push_back(std::move(relay));
+            candidates.push_back(std::move(*relay));
         }
     }
     if (candidates.empty())
--- a/src/entry/target_links.hpp
+++ b/src/entry/target_links.hpp
@@ -41,6 +41,12 @@
     find_relay(base::pool_id const& pool,
                std::vector<base::target_id> const& tried);
 
+    /// The daemon `peer` as a target; nothing if it is in `tried` or did not
+    /// take a connection just now.
+    std::optional<routing::target_info>
+    relay_at(routing::peer_ip peer, base::pool_id const& pool,
+             std::vector<base::target_id> const& tried) const;
+
 private:
     static constexpr char const* relay_prefix = "daemon-";
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -264,6 +264,18 @@
     }
 }
 
+std::optional<peer_ip>
+dispatcher::find_slot_owner(base::pool_id const& id) const
+{
+    if (brittle_.empty())
+    {
+        return std::nullopt;
+    }
+    auto const found = pools_.find({true, id, unknown_version});
+    return found == pools_.end() ? std::nullopt
+                                 : found->second.targets_.find_slot_owner();
+}
+
 target_info const* dispatcher::find(base::target_id const& id) const
 {
     auto const found = targets_.find(id);
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -98,6 +98,9 @@
         brittle_.set_fleet(daemons, now);
     }
     target_limits const& limits() const { return limits_; }
+    /// A daemon with a slot of the pool's targets, if all that take work are
+    /// brittle and none of their slots is this daemon's.
+    std::optional<peer_ip> find_slot_owner(base::pool_id const& id) const;
 
     /// Appends the grants and refusals that are due.
     void advance(base::time_point now, std::vector<sched::action>& out);
--- a/src/routing/target_limits.cpp
+++ b/src/routing/target_limits.cpp
@@ -90,6 +90,17 @@
                : request_rate{};
 }
 
+std::optional<peer_ip>
+target_limits::first_sharer(incarnation_digest target) const
+{
+    auto const first =
+        std::max_element(daemons_.begin(), daemons_.end(),
+                         [&](peer_ip a, peer_ip b) {
+                             return weight_of(target, a) < weight_of(target, b);
+                         });
+    return first == daemons_.end() ? std::nullopt : std::optional{*first};
+}
+
 bool target_limits::on_answer(incarnation_digest target,
                               std::optional<request_rate> limit,
                               base::time_point sent, base::time_point now)
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -76,6 +76,9 @@
     /// Null for a target without a limit. Valid until the next statement.
     target_limit const* find(incarnation_digest target) const;
     bool empty() const { return statements_.empty(); }
+    /// A daemon that has a share of each limit of the target; nothing if the
+    /// fleet is not known.
+    std::optional<peer_ip> first_sharer(incarnation_digest target) const;
     /// A request is sent to the target.
     void on_sent(incarnation_digest target, base::time_point now);
     /// A request that was to be sent did not reach the target.
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -122,6 +122,32 @@
     return sum;
 }
 
+std::optional<peer_ip> target_selector::find_slot_owner() const
+{
+    std::vector<peer_ip> owners;
+    for (auto const* t : targets_)
+    {
+        if (!t->takes_work())
+        {
+            continue;
+        }
+        auto const* const own_part = brittle_->find(t->incarnation_);
+        if (own_part == nullptr || own_part->slots() > 0)
+        {
+            return std::nullopt;
+        }
+        if (auto const owner = brittle_->first_sharer(t->incarnation_))
+        {
+            owners.push_back(*owner);
+        }
+    }
+    if (owners.empty())
+    {
+        return std::nullopt;
+    }
+    return owners.at(random_->below(owners.size()));
+}
+
 int target_selector::free_slots(dispatch_target const& t, int peer_requests,
                                 int extra, base::time_point now) const
 {
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -84,6 +84,10 @@
     /// take work have limits.
     std::optional<request_rate> total_limit() const;
 
+    /// A daemon that has a slot of a random target, if all that take work are
+    /// brittle and none of their slots is this daemon's.
+    std::optional<peer_ip> find_slot_owner() const;
+
     /// Which targets may be chosen.
     enum class scope : std::uint8_t
     {
--- a/tests/entry/brittle_target_test.cpp
+++ b/tests/entry/brittle_target_test.cpp
@@ -35,9 +35,8 @@
     }
 };
 
-// A slot that two daemons use in turn is full for both when they use it at
-// once.
-TEST(brittle_target, has_its_slots_shared_out_among_the_daemons)
+// The only slot is one daemon's; the other one passes its requests on.
+TEST(brittle_target, serves_callers_of_a_daemon_without_a_slot)
 {
     for (auto* const daemon : {&first_, &second_})
     {
@@ -56,8 +55,8 @@
         first += ask(first_);
         second += ask(second_);
     }
-    LONGS_EQUAL(5, first + second);
-    CHECK(first == 0 || second == 0);
+    LONGS_EQUAL(5, first);
+    LONGS_EQUAL(5, second);
     for (auto* const daemon : {&first_, &second_})
     {
         daemon->set_targets({});
--- a/tests/routing/brittle_fleet_test.cpp
+++ b/tests/routing/brittle_fleet_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -116,3 +117,32 @@
         }
     }
 }
+
+// A slot that two daemons use in turn is full for both when they use it at
+// once.
+TEST(brittle_fleet, a_daemon_without_a_slot_names_one_that_has_it)
+{
+    std::vector<peer_ip> const all{peer_ip{1}, peer_ip{2}, peer_ip{3}};
+    auto const t = target("t0");
+    peer_table const peers;
+    std::map<peer_ip, std::optional<peer_ip>> owners;
+    for (auto const self : all)
+    {
+        dispatcher d{{base::data_centre_id{"near"}, 1, self}, peers};
+        d.set_fleet(all, at(0s));
+        d.set_targets({t});
+        CHECK(!d.find_slot_owner(t.pool_));
+        d.on_brittle(t, true, at(1s), at(1s));
+        owners[self] = d.find_slot_owner(t.pool_);
+        LONGS_EQUAL(owners[self] ? 0 : 1,
+                    d.find_free_slot(call(1), at(2s)) == nullptr ? 0 : 1);
+    }
+    auto const without = std::count_if(owners.begin(), owners.end(),
+                                       [](auto const& entry)
+                                       { return entry.second.has_value(); });
+    LONGS_EQUAL(2, without);
+    for (auto const& [self, owner] : owners)
+    {
+        CHECK(!owner || !owners.at(*owner));
+    }
+}
