Origins of streams outlive all daemons while a pool has two versions

Cause: what began a stream was known only to daemons.

Change: routing::origin_archive decides which origins are written to the store and when, entry::origin_store writes and reads them. At most 50 writes a second for the fleet, none while each pool has one version.

--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -49,6 +49,8 @@
                         base::entropy()},
       registration_{loop, store, s.daemon_.str(), s.callers_.ip_,
                     std::move(outputs.daemons_)},
+      origins_{store, s.daemon_.str(), base::entropy(),
+               std::move(outputs.origins_)},
       report_restoration_{std::move(outputs.store_restored_)},
       era_{[this](store_era fresh)
            {
@@ -79,6 +81,7 @@
     configuration_watcher_.restart();
     registry_watcher_.restart();
     registration_.on_new_era();
+    origins_.on_new_era();
     report_restoration_();
 }
 
--- a/src/entry/control_plane.hpp
+++ b/src/entry/control_plane.hpp
@@ -2,6 +2,7 @@
 
 #include "src/entry/configuration_reader.hpp"
 #include "src/entry/daemon_registration.hpp"
+#include "src/entry/origin_store.hpp"
 #include "src/entry/registry_reader.hpp"
 #include "src/entry/settings.hpp"
 #include "src/entry/store_era_tracker.hpp"
@@ -27,6 +28,9 @@
     /// true when it has been read again.
     std::function<void(bool is_current)> registry_state_ = [](bool) {
     };
+    /// Called with origins of streams that were read from the store.
+    origin_store::read_callback origins_ = [](routing::stream_message const&) {
+    };
 };
 
 /// Maintains the configuration, the target registry and the list of daemons.
@@ -48,6 +52,12 @@
     void on_newer_configuration(std::string const& ip);
     /// Another daemon knows of this change of the registry.
     void on_registry_change(routing::registry_change change);
+    /// Keeps origins of streams in the store.
+    void write_origins(routing::stream_message message)
+    {
+        origins_.write(std::move(message));
+    }
+    void read_origins() { origins_.read(); }
     /// Place of this daemon among those that hear each other.
     void on_position(routing::follower_position position);
     /// Stops reading the store and deregisters this daemon. `done` may run
@@ -67,6 +77,7 @@
     store_watcher configuration_watcher_;
     store_watcher registry_watcher_;
     daemon_registration registration_;
+    origin_store origins_;
     std::function<void()> report_restoration_;
     store_era_tracker era_;
     net::http_client peers_;
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -167,6 +167,7 @@
     dispatcher_.set_targets(targets);
     target_versions_.set_targets(targets, net::now());
     links_.set_targets(targets);
+    origins_.set_targets(targets);
     schedule_advance();
 }
 
@@ -217,6 +218,7 @@
     }
     crashes_.set_fleet(daemons);
     dispatcher_.set_fleet(daemons, now);
+    origins_.set_fleet_size(std::max<std::size_t>(daemons.size(), 1));
 }
 
 void data_plane::on_registry_change(routing::registry_change change)
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -45,6 +45,16 @@
         store_news_ = std::move(callbacks);
     }
 
+    void set_origin_archive(stream_origin_exchange::archive_callbacks callbacks)
+    {
+        origins_.set_archive_callbacks(std::move(callbacks));
+    }
+    /// Origins of streams were read from the store.
+    void on_archived_origins(routing::stream_message const& message)
+    {
+        origins_.on_archived(message);
+    }
+
     base::result<void> start();
     /// Local addresses of the listeners.
     base::address callers_address() const { return callers_.local_address(); }
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -66,6 +66,12 @@
                net::asio::post(
                    data_plane_loop_, [this, is_current, at = net::now()]
                    { data_plane_.on_registry_state(is_current, at); });
+           },
+           [this](routing::stream_message message)
+           {
+               net::asio::post(data_plane_loop_,
+                               [this, found = std::move(message)]
+                               { data_plane_.on_archived_origins(found); });
            }}},
       signals_{data_plane_loop_, SIGTERM, SIGINT, SIGHUP},
       log_flush_timer_{data_plane_loop_, [this]
@@ -85,6 +91,19 @@
              net::asio::post(control_loop_, [this, position]
                              { control_plane_.on_position(position); });
          }});
+    data_plane_.set_origin_archive(
+        {[this](routing::stream_message message)
+         {
+             net::asio::post(control_loop_,
+                             [this, batch = std::move(message)]() mutable {
+                                 control_plane_.write_origins(std::move(batch));
+                             });
+         },
+         [this]
+         {
+             net::asio::post(control_loop_,
+                             [this] { control_plane_.read_origins(); });
+         }});
 }
 
 entry_daemon::~entry_daemon()
--- /dev/null
+++ b/src/entry/origin_store.cpp
@@ -0,0 +1,142 @@
+#include "src/entry/origin_store.hpp"
+
+#include "src/entry/report_codec.hpp"
+#include "src/net/event_loop.hpp"
+
+#include <utility>
+
+namespace tanagerlead::entry
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string const origins_prefix = "tanagerlead/origins/";
+/// Items are written under one lease for a while, which is not renewed, so they
+/// vanish together.
+constexpr base::duration lease_use = 15s;
+constexpr base::duration lease_time = lease_use + 20s;
+/// While no lease can be had, streams go on beginning.
+constexpr std::size_t max_waiting = 64;
+
+} // namespace
+
+origin_store::origin_store(metadata_store& store, std::string const& daemon,
+                           std::uint64_t incarnation, read_callback found)
+    : store_{store}, prefix_{origins_prefix + daemon + "-" +
+                             std::to_string(incarnation) + "-"},
+      found_{std::move(found)}
+{
+}
+
+void origin_store::write(routing::stream_message message)
+{
+    auto const now = net::now();
+    if (lease_ && now - lease_from_ < lease_use)
+    {
+        put(std::move(message), *lease_);
+        return;
+    }
+    if (waiting_.size() == max_waiting)
+    {
+        waiting_.erase(waiting_.begin());
+    }
+    waiting_.push_back(std::move(message));
+    if (std::exchange(is_leasing_, true))
+    {
+        return;
+    }
+    store_.grant_lease(
+        lease_time, calls_.wrap(
+                        [this, now](base::result<store_lease> const& granted)
+                        {
+                            is_leasing_ = false;
+                            if (!granted)
+                            {
+                                log_failure("Cannot keep origins of streams.",
+                                            granted.error());
+                                return;
+                            }
+                            lease_ = granted.value();
+                            lease_from_ = now;
+                            for (auto& each : std::exchange(waiting_, {}))
+                            {
+                                put(std::move(each), *lease_);
+                            }
+                        }));
+}
+
+void origin_store::put(routing::stream_message message, store_lease lease)
+{
+    store_.put(prefix_ + std::to_string(++writes_),
+               write_stream_message(message), lease,
+               calls_.wrap(
+                   [this](base::result<void> const& written)
+                   {
+                       if (!written)
+                       {
+                           log_failure("Cannot keep origins of streams.",
+                                       written.error());
+                       }
+                   }));
+}
+
+void origin_store::read()
+{
+    if (!std::exchange(is_reading_, true))
+    {
+        read_page({});
+    }
+}
+
+void origin_store::read_page(std::string const& after)
+{
+    store_.list(origins_prefix, after, false,
+                calls_.wrap([this](base::result<store_page> const& page)
+                            { on_page(page); }));
+}
+
+void origin_store::on_page(base::result<store_page> const& page)
+{
+    if (!page)
+    {
+        is_reading_ = false;
+        log_failure("Cannot read the origins of streams.", page.error());
+        return;
+    }
+    auto const& items = page.value().items_;
+    for (auto const& item : items)
+    {
+        if (auto message = read_stream_message(item.value_))
+        {
+            message->questions_.clear();
+            found_(std::move(*message));
+        }
+    }
+    if (page.value().has_more_ && !items.empty())
+    {
+        read_page(items.back().key_);
+        return;
+    }
+    is_reading_ = false;
+}
+
+// A lease of the earlier era may belong to another daemon now.
+void origin_store::on_new_era()
+{
+    calls_.give_up_calls();
+    lease_.reset();
+    is_leasing_ = false;
+    is_reading_ = false;
+    waiting_.clear();
+}
+
+void origin_store::log_failure(char const* message, base::error const& why)
+{
+    log_.write(log_category::control_plane,
+               log_line{message}.with("reason", why.str()), net::now());
+}
+
+} // namespace tanagerlead::entry
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t max_unresolved = 4096;
 /// While the registry is lost, nobody knows when it will be read again.
 constexpr base::duration recheck_interval = std::chrono::milliseconds{200};
+/// Another daemon that knows an origin answers sooner, also if one message is
+/// lost.
+constexpr base::duration archive_read_delay = std::chrono::milliseconds{120};
 
 } // namespace
 
@@ -60,6 +63,7 @@
     auto const version =
         found.known_from_ ? routing::unknown_version : found.version_;
     origins_.on_begun({origin.attempt_, version}, now);
+    archive_.on_begun(origin.target_.pool_, {origin.attempt_, version}, now);
     answer(origin.attempt_, version);
     if (!origin.askers_.empty())
     {
@@ -113,6 +117,8 @@
     }
     pending_.emplace(digest, std::move(done));
     origins_.ask(digest, net::now());
+    read_archive_at_ =
+        std::min(read_archive_at_, net::now() + archive_read_delay);
     advance();
 }
 
@@ -128,12 +134,47 @@
     {
         note_askers(from, message.questions_);
     }
+    answer_from(message);
+}
+
+void stream_origin_exchange::answer_from(routing::stream_message const& message)
+{
     for (auto const& origin : message.origins_)
     {
         answer(origin.attempt_, origins_.find(origin.attempt_));
     }
 }
 
+void stream_origin_exchange::set_targets(
+    std::vector<routing::target_info> const& targets)
+{
+    archive_.set_targets(targets, net::now());
+    set_timer();
+}
+
+void stream_origin_exchange::on_archived(routing::stream_message const& message)
+{
+    origins_.on_message(message, net::now());
+    answer_from(message);
+}
+
+void stream_origin_exchange::advance_archive()
+{
+    auto const now = net::now();
+    for (auto& batch : archive_.take_due(now))
+    {
+        archive_callbacks_.write_(std::move(batch));
+    }
+    if (now >= read_archive_at_)
+    {
+        read_archive_at_ = base::time_point::max();
+        if (!pending_.empty())
+        {
+            archive_callbacks_.read_();
+        }
+    }
+}
+
 void stream_origin_exchange::answer(
     routing::attempt_digest attempt,
     std::optional<routing::version_digest> version)
@@ -154,6 +195,7 @@
 void stream_origin_exchange::advance()
 {
     resolve_due();
+    advance_archive();
     auto const due = origins_.take_due(net::now());
     for (auto const& message : due.copies_)
     {
@@ -174,7 +216,8 @@
 
 void stream_origin_exchange::set_timer()
 {
-    auto next = origins_.next_wakeup();
+    auto next = std::min(
+        {origins_.next_wakeup(), archive_.next_wakeup(), read_archive_at_});
     for (auto const& origin : unresolved_)
     {
         next = std::min(next, origin.due_);
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/entry/peer_exchange.hpp"
+#include "src/routing/origin_archive.hpp"
 #include "src/routing/stream_origins.hpp"
 #include "src/routing/target_versions.hpp"
 
@@ -22,10 +23,30 @@
     using version_finder = std::function<routing::version_finding(
         routing::target_info const& target, base::time_point connected_at)>;
 
+    /// Calls that keep origins in the store and read those of all daemons.
+    struct archive_callbacks
+    {
+        std::function<void(routing::stream_message)> write_;
+        std::function<void()> read_;
+    };
+
     /// `peers` must outlive the exchange.
     stream_origin_exchange(net::asio::io_context& loop, peer_exchange& peers,
                            version_finder version_of);
 
+    void set_archive_callbacks(archive_callbacks callbacks)
+    {
+        archive_callbacks_ = std::move(callbacks);
+    }
+    void set_targets(std::vector<routing::target_info> const& targets);
+    /// Daemons that begin streams, this one included.
+    void set_fleet_size(std::size_t daemons)
+    {
+        archive_.set_fleet_size(daemons);
+    }
+    /// Origins were read from the store.
+    void on_archived(routing::stream_message const& message);
+
     /// The stream of this attempt of a caller has begun here, over a connection
     /// to `target` that was opened at `connected_at`.
     void on_begun(std::string const& attempt,
@@ -60,10 +81,18 @@
     void set_timer();
     void answer(routing::attempt_digest attempt,
                 std::optional<routing::version_digest> version);
+    void answer_from(routing::stream_message const& message);
+    void advance_archive();
 
     peer_exchange& peers_;
     version_finder version_of_;
     routing::stream_origins origins_;
+    routing::origin_archive archive_;
+    archive_callbacks archive_callbacks_{[](routing::stream_message const&) {},
+                                         [] {
+                                         }};
+    /// When the store is asked for origins that no daemon has told.
+    base::time_point read_archive_at_ = base::time_point::max();
     std::vector<unresolved_origin> unresolved_;
     std::multimap<routing::attempt_digest, found_callback> pending_;
     net::deadline_timer timer_;
--- /dev/null
+++ b/src/routing/origin_archive.cpp
@@ -0,0 +1,93 @@
+#include "src/routing/origin_archive.hpp"
+
+#include <algorithm>
+
+namespace tanagerlead::routing
+{
+
+bool origin_archive::pool_record::has_versions(base::time_point now) const
+{
+    return std::count_if(seen_.begin(), seen_.end(),
+                         [now](auto const& seen)
+                         { return now - seen.second <= retention; }) > 1;
+}
+
+base::duration origin_archive::interval() const
+{
+    return std::max(min_interval,
+                    interval_per_daemon * static_cast<int>(daemons_));
+}
+
+void origin_archive::schedule(pool_record const& p, base::time_point now)
+{
+    if (!p.unwritten_.empty() && p.has_versions(now))
+    {
+        write_at_ = std::min(write_at_, now + interval());
+    }
+}
+
+// Streams that began just before the first target of another version came are
+// written as well.
+void origin_archive::set_targets(std::vector<target_info> const& targets,
+                                 base::time_point now)
+{
+    for (auto const& info : targets)
+    {
+        pools_[info.pool_].seen_[info.version_] = now;
+    }
+    for (auto& [id, p] : pools_)
+    {
+        std::erase_if(p.seen_, [now](auto const& seen)
+                      { return now - seen.second > retention; });
+        schedule(p, now);
+    }
+    std::erase_if(pools_,
+                  [](auto const& entry) { return entry.second.seen_.empty(); });
+}
+
+void origin_archive::on_begun(base::pool_id const& pool, stream_origin origin,
+                              base::time_point now)
+{
+    auto const found = pools_.find(pool);
+    if (found == pools_.end() || origin.version_ == unknown_version)
+    {
+        return;
+    }
+    auto& p = found->second;
+    p.unwritten_.emplace_back(now, origin);
+    while (now - p.unwritten_.front().first > retention)
+    {
+        p.unwritten_.pop_front();
+    }
+    schedule(p, now);
+}
+
+std::vector<stream_message> origin_archive::take_due(base::time_point now)
+{
+    std::vector<stream_message> out;
+    if (now < write_at_)
+    {
+        return out;
+    }
+    write_at_ = base::time_point::max();
+    for (auto& [id, p] : pools_)
+    {
+        if (!p.has_versions(now))
+        {
+            continue;
+        }
+        for (auto const& [at, origin] : p.unwritten_)
+        {
+            if (out.empty() ||
+                out.back().origins_.size() == stream_message::max_items)
+            {
+                out.emplace_back();
+            }
+            out.back().origins_.push_back(origin);
+        }
+        p.unwritten_.clear();
+    }
+    return out;
+}
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/origin_archive.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "src/routing/stream_origin.hpp"
+#include "src/routing/target_info.hpp"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace tanagerlead::routing
+{
+
+/// Decides which origins of streams are kept in the store, where they outlive
+/// all daemons, and when. Answers the load of a software release: while targets
+/// of two versions serve a pool, and shortly after, the version that began a
+/// stream cannot be inferred once the daemons that know it are gone. At other
+/// times nothing is kept.
+///
+/// The origins of a daemon are written in batches whose interval grows with the
+/// fleet, so all daemons together write at most every `interval_per_daemon`.
+class origin_archive
+{
+public:
+    static constexpr base::duration interval_per_daemon =
+        std::chrono::milliseconds{20};
+    static constexpr base::duration min_interval =
+        std::chrono::milliseconds{100};
+    /// Longer than a stream lasts, until its caller has taken it up.
+    static constexpr base::duration retention = std::chrono::seconds{20};
+
+    /// The targets of all pools.
+    void set_targets(std::vector<target_info> const& targets,
+                     base::time_point now);
+    /// Daemons that begin streams, this one included.
+    void set_fleet_size(std::size_t daemons) { daemons_ = daemons; }
+    /// A stream of this daemon began in `pool`, or goes on here.
+    void on_begun(base::pool_id const& pool, stream_origin origin,
+                  base::time_point now);
+    /// What is to be written now.
+    std::vector<stream_message> take_due(base::time_point now);
+    base::time_point next_wakeup() const { return write_at_; }
+
+private:
+    struct pool_record
+    {
+        std::map<base::software_version, base::time_point> seen_;
+        /// Own origins that are not written yet, oldest first.
+        std::deque<std::pair<base::time_point, stream_origin>> unwritten_;
+
+        bool has_versions(base::time_point now) const;
+    };
+
+    void schedule(pool_record const& p, base::time_point now);
+    base::duration interval() const;
+
+    std::size_t daemons_ = 1;
+    std::map<base::pool_id, pool_record> pools_;
+    base::time_point write_at_ = base::time_point::max();
+};
+
+} // namespace tanagerlead::routing
