Log lines of finished calls state the size of the request

Whether large requests fare worse than small ones of a route could not be told from the logs: they name the outcome, the cause and the waits of a request, but not its size.

The line of a finished call states the prompt tokens and the most output tokens as the caller gave them.

--- a/src/entry/call_log.cpp
+++ b/src/entry/call_log.cpp
@@ -17,6 +17,8 @@
         .with("route", context.route_->name_)
         .with("pool", context.pool_.str())
         .with("tier", static_cast<std::int64_t>(base::index(context.tier_)))
+        .with("prompt_tokens", context.metadata_.prompt_tokens_)
+        .with("max_output_tokens", context.metadata_.max_output_tokens_)
         .with("outcome", to_string(outcome))
         .with("status", finished.status())
         .with("cause", cause)
