Kept beginnings of prompts are weighed against load

A target got a fixed bonus for the last part of a prompt, whatever it kept and however long that was. Requests were spread without regard to shared beginnings.

Each daemon now models what every start of a target keeps of the prompts that it sent there, and the cost of a target contains the reading time of the rest only. All daemons prefer the same target with a free slot for a beginning. This applies to requests that name their parts, in pools with a stated memory.

Not measured on a deployment. The wire_protocol test of the lengths was not run.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -117,6 +117,7 @@
     out.objective_ = context_.route_->objective_;
     out.tried_ = tried_;
     out.affinity_key_ = context_.metadata_.affinity_;
+    out.prompt_ = context_.metadata_.sized_parts_;
     out.urgent_ = context_.relative_rank_ == 0;
     out.answer_started_ = has_begun();
     if (out.answer_started_)
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -30,6 +30,8 @@
     std::uint64_t affinity_ = 0;
     /// The parts of the prompt before the last one.
     routing::prompt_parts shared_parts_;
+    /// All parts of the prompt; empty if one of them has no length.
+    routing::sized_prompt_parts sized_parts_;
     /// Last event that the caller has received.
     std::optional<std::uint64_t> last_event_;
     /// The attempt of the caller that brought the first event of this stream;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -455,6 +455,10 @@
     limits_.on_sent(target.incarnation_, now);
     ++target.own_requests_;
     target.own_tokens_ += tokens;
+    if (!call.prompt_.empty())
+    {
+        pool(call.work_.pool_).targets_.on_sent(target, call, now);
+    }
     in_flight_.emplace(
         call.work_.request_,
         running_call{target.info_.id_, call.work_.pool_, now, tokens});
@@ -623,6 +627,7 @@
         {
             limits_.on_not_sent(t.incarnation_, now);
             t.health_.on_lost(run.dispatched_, now);
+            t.prefixes_.clear();
         }
         else if (end == attempt_outcome::displaced)
         {
--- a/src/routing/pending_call.hpp
+++ b/src/routing/pending_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/routing/prompt_part.hpp"
 #include "src/routing/stream_origin.hpp"
 #include "src/sched/types.hpp"
 
@@ -22,6 +23,8 @@
     /// Identifies the part of the prompt that later requests may share; 0:
     /// none.
     std::uint64_t affinity_key_ = 0;
+    /// Empty if the caller named no parts.
+    sized_prompt_parts prompt_;
     /// Its route has the first rank.
     bool urgent_ = false;
     /// The caller has received part of the answer, which is lost if the request
--- a/src/routing/prompt_part.hpp
+++ b/src/routing/prompt_part.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/base/units.hpp"
 #include "src/routing/id_digest.hpp"
 
 #include <cstdint>
@@ -16,6 +17,19 @@
 /// The parts of one request's prompt that other requests may share, in order.
 using prompt_parts = std::vector<prompt_part>;
 
+/// A part of a prompt and its length.
+struct sized_prompt_part
+{
+    prompt_part part_{};
+    base::token_count tokens_ = 0;
+};
+
+/// All parts of one request's prompt, in order; only the first
+/// `max_sized_parts` of a longer one.
+using sized_prompt_parts = std::vector<sized_prompt_part>;
+
+constexpr std::size_t max_sized_parts = 8;
+
 /// A request with this part was in flight at a target when that crashed.
 struct part_crash
 {
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -26,6 +26,9 @@
 /// Subtracted from the cost of the target that the shared part of the prompt is
 /// assigned to.
 constexpr double affinity_bonus = 0.25;
+/// Part of a prompt that a target is expected to keep if all daemons prefer it
+/// for that prompt, but this one has not sent it there lately.
+constexpr double expected_kept_fraction = 0.5;
 /// Random part of the cost, so that daemons do not all choose the same target.
 constexpr double cost_jitter = 0.1;
 /// Requests of the first rank that may wait at a full target, so that they take
@@ -172,7 +175,8 @@
 }
 
 double target_selector::cost(dispatch_target const& t, int peer_requests,
-                             pending_call const& call, double mean) const
+                             pending_call const& call, double kept,
+                             double mean) const
 {
     auto const used = t.own_requests_ + peer_requests;
     auto const slots = std::max(1, t.info_.slots_);
@@ -180,8 +184,9 @@
         t.service_time_.seconds_per_unit(mean) / mean;
     auto const load = static_cast<double>(used) / slots;
     // A slow target is slow to read as well, which decides for long prompts.
-    auto const prompt = static_cast<double>(call.work_.prompt_tokens_) /
-                        prompt_tokens_per_answer;
+    auto const unread =
+        std::max(0.0, static_cast<double>(call.work_.prompt_tokens_) - kept);
+    auto const prompt = unread / prompt_tokens_per_answer;
     auto const prefill = prompt * (1.0 + prompt_delay_fraction * load);
     auto const is_remote = t.info_.data_centre_ != *local_data_centre_;
     return relative_service_time * (1.0 + load_cost * load + prefill) +
@@ -227,26 +232,97 @@
                        { return t->takes_work() && !was_tried(call, *t); });
 }
 
+bool target_selector::may_take(dispatch_target const& t, int peer_requests,
+                               pending_call const& call, scope where,
+                               base::time_point now) const
+{
+    return !was_tried(call, t) &&
+           (where == scope::all || limit_of(t) != nullptr) &&
+           free_slots(t, peer_requests, extra_slots(call), now) > 0 &&
+           has_kv_capacity(t, peer_requests, call);
+}
+
+// Full targets are passed over, so more targets hold a beginning the more
+// often it is requested.
+dispatch_target const*
+target_selector::common_holder(pending_call const& call, scope where,
+                               base::time_point now) const
+{
+    if (!weighs_kept_parts(call) || call.prompt_.size() < 2)
+    {
+        return nullptr;
+    }
+    auto const beginning =
+        static_cast<std::uint64_t>(call.prompt_.front().part_);
+    dispatch_target const* preferred = nullptr;
+    std::uint64_t highest = 0;
+    for (auto const* t : targets_)
+    {
+        auto const weight = base::random_source{
+            beginning ^ static_cast<std::uint64_t>(t->digest_)}();
+        if (weight >= highest &&
+            may_take(*t, peer_requests_at(*t), call, where, now))
+        {
+            highest = weight;
+            preferred = t;
+        }
+    }
+    return preferred;
+}
+
+void target_selector::on_sent(dispatch_target& t, pending_call const& call,
+                              base::time_point now) const
+{
+    if (weighs_kept_parts(call))
+    {
+        auto const running = static_cast<double>(t.own_tokens_) +
+                             peer_requests_at(t) * mean_tokens_;
+        auto const own = static_cast<double>(tokens_of(call));
+        auto const room =
+            static_cast<double>(kv_capacity_tokens_) - running + own;
+        t.prefixes_.on_read(call.prompt_,
+                            static_cast<base::token_count>(std::max(0.0, room)),
+                            now);
+    }
+}
+
 dispatch_target* target_selector::choose(pending_call const& call, scope where,
                                          base::time_point now)
 {
     auto const mean = mean_service_time();
+    auto const weighs_kept = weighs_kept_parts(call);
     auto const* const preferred = affinity_target(call.affinity_key_);
+    auto const* const holder = common_holder(call, where, now);
+    double shared = 0;
+    for (std::size_t i = 0; i + 1 < call.prompt_.size(); ++i)
+    {
+        shared += static_cast<double>(call.prompt_[i].tokens_);
+    }
+    auto const all = static_cast<double>(call.work_.prompt_tokens_);
+    // The part that saves more time decides where daemons meet.
+    auto const shares_most = 2 * shared >= all;
     dispatch_target* best = nullptr;
     auto lowest = std::numeric_limits<double>::max();
     for (auto* const t : targets_)
     {
         auto const peer_requests = peer_requests_at(*t);
-        if (was_tried(call, *t) ||
-            (where == scope::limited && limit_of(*t) == nullptr) ||
-            free_slots(*t, peer_requests, extra_slots(call), now) <= 0 ||
-            !has_kv_capacity(*t, peer_requests, call))
+        if (!may_take(*t, peer_requests, call, where, now))
         {
             continue;
         }
-        auto const c = cost(*t, peer_requests, call, mean) +
-                       cost_jitter * random_->uniform() -
-                       (t == preferred ? affinity_bonus : 0.0);
+        double kept = 0;
+        if (weighs_kept)
+        {
+            auto const expected = shares_most ? (t == holder ? shared : 0.0)
+                                              : (t == preferred ? all : 0.0);
+            kept = std::max(
+                static_cast<double>(t->prefixes_.kept(call.prompt_, now)),
+                expected_kept_fraction * expected);
+        }
+        auto const bonus =
+            !weighs_kept && t == preferred ? affinity_bonus : 0.0;
+        auto const c = cost(*t, peer_requests, call, kept, mean) +
+                       cost_jitter * random_->uniform() - bonus;
         if (c < lowest)
         {
             lowest = c;
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -3,6 +3,7 @@
 #include "src/base/random.hpp"
 #include "src/routing/peer_table.hpp"
 #include "src/routing/pending_call.hpp"
+#include "src/routing/prefix_memory.hpp"
 #include "src/routing/service_time_estimate.hpp"
 #include "src/routing/target_info.hpp"
 #include "src/routing/target_limits.hpp"
@@ -31,6 +32,7 @@
     base::time_point paused_until_ = base::time_point::min();
     service_time_estimate service_time_;
     failure_rate failures_;
+    prefix_memory prefixes_;
     sched::target_health health_;
 
     /// It may run requests, now or after a pause.
@@ -72,6 +74,9 @@
     }
     /// A request of this many tokens was assigned.
     void on_assigned(base::token_count tokens);
+    /// The request was sent to the target and occupies its slot.
+    void on_sent(dispatch_target& t, pending_call const& call,
+                 base::time_point now) const;
 
     /// Slots of all targets that take work now. A target with a limit counts
     /// with those that it fills when a request takes `slot_seconds`.
@@ -119,8 +124,22 @@
         return limits_->find(t.incarnation_);
     }
     double mean_service_time() const;
+    /// `kept`: tokens of the prompt that the target need not read.
     double cost(dispatch_target const& t, int peer_requests,
-                pending_call const& call, double mean) const;
+                pending_call const& call, double kept, double mean) const;
+    /// Whether the choice weighs what targets keep of the prompt.
+    bool weighs_kept_parts(pending_call const& call) const
+    {
+        return kv_capacity_tokens_ > 0 && !call.prompt_.empty();
+    }
+    bool may_take(dispatch_target const& t, int peer_requests,
+                  pending_call const& call, scope where,
+                  base::time_point now) const;
+    /// The target with a slot for the request that all daemons prefer for the
+    /// beginning of its prompt. Null if there is none, or if the choice does
+    /// not weigh kept parts.
+    dispatch_target const* common_holder(pending_call const& call, scope where,
+                                         base::time_point now) const;
     bool has_kv_capacity(dispatch_target const& t, int peer_requests,
                          pending_call const& call) const;
     dispatch_target const* affinity_target(std::uint64_t affinity) const;
--- a/tests/platform/wire_protocol_test.cpp
+++ b/tests/platform/wire_protocol_test.cpp
@@ -134,6 +134,26 @@
         1, protocol_.read_request_metadata(h).value().shared_parts_.size());
 }
 
+TEST(wire_protocol, reads_the_lengths_of_all_prompt_parts)
+{
+    auto const read = [this](char const* text)
+    {
+        net::header_list h;
+        h.add("Tanagerlead-Prompt-Prefix", text);
+        return protocol_.read_request_metadata(h).value().sized_parts_;
+    };
+    auto const parts = read("5c1e07a2:800,91bd:410");
+    LONGS_EQUAL(2, parts.size());
+    CHECK(parts[1].part_ == routing::prompt_part{0x91bd});
+    LONGS_EQUAL(410, parts[1].tokens_);
+    CHECK(read("1,2:5").empty());
+    CHECK(read("1:5,2:x").empty());
+    CHECK(read("1:-5").empty());
+    CHECK(read(",:,").empty());
+    LONGS_EQUAL(routing::max_sized_parts,
+                read("1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1,9:1").size());
+}
+
 TEST(wire_protocol, derives_affinity_from_the_last_prompt_part)
 {
     net::header_list a;
