Kept beginnings of prompts are weighed only where a setting asks for it

Cause: the decision applied to every pool with a known memory, that is on all deployments, and has not been measured on any.

Change: setting weigh_kept_prompts, false if absent; the tests of the decision set it.

--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -76,6 +76,22 @@
 
     std::string const& problem() const { return problem_; }
 
+    /// False if the field is absent.
+    bool flag_or_false(char const* name)
+    {
+        auto const found = object_.find(name);
+        if (found == object_.end())
+        {
+            return false;
+        }
+        if (!found->is_boolean())
+        {
+            set_problem(name, "is not true or false");
+            return false;
+        }
+        return found->get<bool>();
+    }
+
 private:
     json const* find(char const* name, bool (json::*is_kind)() const noexcept,
                      char const* kind)
@@ -148,6 +164,7 @@
     s.retry_window_ =
         base::from_seconds(r.number("retry_window_seconds", 1, max_seconds));
     s.quota_slack_ = r.number("quota_slack", 0, 1e12);
+    s.weighs_kept_prompts_ = r.flag_or_false("weigh_kept_prompts");
     if (!r.problem().empty())
     {
         return fail(r.problem());
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -38,6 +38,8 @@
     base::duration retry_window_ = std::chrono::seconds{10};
     /// Units by which all daemons together may exceed a quota.
     double quota_slack_ = 0;
+    /// Targets that still keep the beginning of a prompt are preferred.
+    bool weighs_kept_prompts_ = false;
 };
 
 /// Errors name the field.
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -71,6 +71,8 @@
     if (is_new)
     {
         entry->second.digest_ = digest_of(id.str());
+        entry->second.targets_.set_weighs_kept_prompts(
+            settings_.weighs_kept_prompts_);
     }
     return entry->second;
 }
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -33,6 +33,8 @@
         base::data_centre_id data_centre_;
         std::uint64_t seed_ = 0;
         peer_ip self_{};
+        /// Targets that still keep the beginning of a prompt are preferred.
+        bool weighs_kept_prompts_ = false;
     };
 
     /// `peers` must outlive the dispatcher.
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -72,6 +72,9 @@
     {
         kv_capacity_tokens_ = tokens;
     }
+    /// Whether the choice weighs what targets keep of prompts, in pools whose
+    /// memory is known.
+    void set_weighs_kept_prompts(bool weighs) { weighs_kept_prompts_ = weighs; }
     /// A request of this many tokens was assigned.
     void on_assigned(base::token_count tokens);
     /// The request was sent to the target and occupies its slot.
@@ -134,7 +137,8 @@
     /// Whether the choice weighs what targets keep of the prompt.
     bool weighs_kept_parts(pending_call const& call) const
     {
-        return kv_capacity_tokens_ > 0 && !call.prompt_.empty();
+        return weighs_kept_prompts_ && kv_capacity_tokens_ > 0 &&
+               !call.prompt_.empty();
     }
     bool may_take(dispatch_target const& t, int peer_requests,
                   pending_call const& call, scope where,
@@ -155,6 +159,7 @@
     base::random_source* random_;
     std::vector<dispatch_target*> targets_;
     base::token_count kv_capacity_tokens_ = 0;
+    bool weighs_kept_prompts_ = false;
     /// Mean tokens of a request, used to estimate the memory that requests of
     /// other daemons occupy.
     double mean_tokens_ = 0;
--- a/tests/routing/fixtures.hpp
+++ b/tests/routing/fixtures.hpp
@@ -48,8 +48,9 @@
 class driver
 {
 public:
-    explicit driver(peer_table& peers)
-        : dispatcher_{{base::data_centre_id{"near"}, 1}, peers}
+    explicit driver(peer_table& peers, bool weighs_kept_prompts = false)
+        : dispatcher_{
+              {base::data_centre_id{"near"}, 1, {}, weighs_kept_prompts}, peers}
     {
     }
 
--- a/tests/routing/kept_prompts_test.cpp
+++ b/tests/routing/kept_prompts_test.cpp
@@ -71,7 +71,7 @@
 TEST_GROUP(kept_prompts)
 {
     peer_table peers_;
-    driver d_{peers_};
+    driver d_{peers_, true};
     std::uint64_t next_ = 1;
 
     void set_up_pool(base::token_count memory, int slots = 4)
@@ -150,7 +150,7 @@
 {
     set_up_pool(200'000);
     peer_table other_peers;
-    driver other{other_peers};
+    driver other{other_peers, true};
     other->set_targets(
         {target("a", 4), target("b", 4), target("c", 4), target("d", 4)});
     other->set_pools({{pool, 200'000}});
