An answer that is arriving is not overdue

Likely cause: in a large fleet on links of 10 Mbit/s a configuration of 1,957 routes takes longer than the total time of a fetch (0.8 s), so every fetch from a daemon ended before its answer was whole and the next one loaded the links again.

Change: calls that read from the store or fetch a configuration have a least rate for the body (8 KiB in each second) instead of a total time; a stalled or trickling answer still ends. store_follower does not give up a watch and starts no further listing while an answer arrives. A daemon answers four fetches of the configuration at a time and 503 to others.

--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -18,6 +18,11 @@
 constexpr base::duration min_registry_interval = 700ms;
 constexpr std::size_t max_peer_connections = 64;
 constexpr base::duration fetch_timeout = 800ms;
+/// A slow link still carries a configuration this fast; a stalled fetch ends.
+constexpr net::progress_limits least_fetch_progress{1s, 8192};
+/// Fetches that a daemon answers at a time. More would share its link so that
+/// none ends soon; the others ask a daemon that has the version by then.
+constexpr std::size_t max_served_fetches = 4;
 char const* const configuration_path = "/configuration";
 
 } // namespace
@@ -95,12 +100,25 @@
     std::shared_ptr<net::caller_connection> const& from,
     net::http_request const& request)
 {
+    std::erase_if(served_,
+                  [](std::weak_ptr<net::caller_connection> const& fetch)
+                  {
+                      auto const open = fetch.lock();
+                      return !open || !open->has_unsent();
+                  });
     net::http_response answer;
+    if (served_.size() >= max_served_fetches)
+    {
+        answer.status_ = 503;
+        from->answer(answer);
+        return;
+    }
     auto const known = request.target_ == configuration_path &&
                        !configuration_.document().empty();
     answer.status_ = known ? 200 : 404;
     answer.body_ = known ? configuration_.document() : std::string{};
     from->answer(answer);
+    served_.push_back(from);
 }
 
 void control_plane::on_newer_configuration(std::string const& ip)
@@ -115,9 +133,11 @@
     request.method_ = "GET";
     request.target_ = configuration_path;
     request.headers_.add("Host", ip);
+    net::call_limits limits{fetch_timeout};
+    limits.progress_ = least_fetch_progress;
     peers_.call(
         {ip, settings_.peers_.port_}, "fetch configuration", std::move(request),
-        {fetch_timeout},
+        limits,
         [this, ip](base::result<net::http_response> answer)
         {
             is_fetching_ = false;
--- a/src/entry/control_plane.hpp
+++ b/src/entry/control_plane.hpp
@@ -71,6 +71,8 @@
     store_era_tracker era_;
     net::http_client peers_;
     net::http_listener listener_;
+    /// Connections that may still send the configuration to another daemon.
+    std::vector<std::weak_ptr<net::caller_connection>> served_;
     bool is_fetching_ = false;
 };
 
--- a/src/entry/daemon_registration.cpp
+++ b/src/entry/daemon_registration.cpp
@@ -145,7 +145,8 @@
                     }
                     timer_.set_after(renewal_interval);
                     publish_(std::move(ips));
-                });
+                },
+                {});
 }
 
 void daemon_registration::log_failure(char const* message,
--- a/src/entry/metadata_store.hpp
+++ b/src/entry/metadata_store.hpp
@@ -68,6 +68,9 @@
     /// Receives the era of an answer; false if the answer is outdated.
     using era_callback = std::function<bool(store_era)>;
 
+    /// Called when a part of an answer has arrived that is not complete yet.
+    using progress_callback = std::function<void()>;
+
     virtual ~metadata_store() = default;
 
     /// Calls `observe` with the era of each answer, also of a failed call,
@@ -78,12 +81,13 @@
     /// Lists the items after the key `after`. With `may_be_stale`, results may
     /// lag by seconds, but the read is cheaper.
     virtual void list(std::string const& prefix, std::string const& after,
-                      bool may_be_stale, result_callback<store_page> done) = 0;
+                      bool may_be_stale, result_callback<store_page> done,
+                      progress_callback progress) = 0;
     /// Passes the changes after the revision `after` to `done`; waits up to
     /// `wait` for them.
     virtual void watch(std::string const& prefix, store_revision after,
-                       base::duration wait,
-                       result_callback<store_changes> done) = 0;
+                       base::duration wait, result_callback<store_changes> done,
+                       progress_callback progress) = 0;
     /// Reads one item as it is now. `not_found`: there is none.
     virtual void read(std::string const& key,
                       result_callback<store_item> done) = 0;
--- a/src/entry/store_watcher.cpp
+++ b/src/entry/store_watcher.cpp
@@ -118,7 +118,22 @@
                                       : pages->items_.back().key_,
                 false,
                 calls_.wrap([this, pages](base::result<store_page> page)
-                            { on_page(pages, std::move(page)); }));
+                            { on_page(pages, std::move(page)); }),
+                progress_of(pages->call_));
+}
+
+std::function<void()> store_watcher::progress_of(store_call_id call)
+{
+    return [on_progress = calls_.wrap(
+                [this](store_call_id id)
+                {
+                    follower_.on_progress(id, net::now());
+                    timer_.set(follower_.next_wakeup());
+                }),
+            call]
+    {
+        on_progress(call);
+    };
 }
 
 void store_watcher::on_page(std::shared_ptr<listing> const& pages,
@@ -162,7 +177,8 @@
     store_.watch(
         settings_.prefix_, call.after_, call.wait_,
         calls_.wrap([this, id = call.id_](base::result<store_changes> changes)
-                    { on_changes(id, std::move(changes)); }));
+                    { on_changes(id, std::move(changes)); }),
+        progress_of(call.id_));
 }
 
 void store_watcher::on_changes(store_call_id call,
--- a/src/entry/store_watcher.hpp
+++ b/src/entry/store_watcher.hpp
@@ -79,6 +79,7 @@
 
     void advance();
     void read_page(std::shared_ptr<listing> const& pages);
+    std::function<void()> progress_of(routing::store_call_id call);
     void on_page(std::shared_ptr<listing> const& pages,
                  base::result<store_page> page);
     void watch(routing::store_call const& call);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,6 +34,8 @@
 
     void start(call_limits const& limits)
     {
+        progress_ = limits.progress_;
+        on_progress_ = limits.on_progress_;
         timer_.set_after(limits.total_timeout_);
         if (auto kept = owner_.take_idle_channel(peer_))
         {
@@ -62,6 +64,10 @@
     head_action on_head(http_response const& head) override
     {
         answer_ = head;
+        if (progress_)
+        {
+            timer_.set_after(progress_->window_);
+        }
         return head_action::accept;
     }
 
@@ -72,6 +78,11 @@
         {
             channel_->close();
             on_broken("answer too large");
+            return;
+        }
+        if (on_progress_)
+        {
+            on_progress_();
         }
     }
 
@@ -106,8 +117,21 @@
         channel_->exchange(request_, *this);
     }
 
+    /// Whether the body arrived fast enough since the last check.
+    bool has_progressed()
+    {
+        auto const received = answer_.body_.size() - checked_bytes_;
+        checked_bytes_ = answer_.body_.size();
+        return progress_ && received > 0 && received >= progress_->least_bytes_;
+    }
+
     void on_timeout()
     {
+        if (has_progressed())
+        {
+            timer_.set_after(progress_->window_);
+            return;
+        }
         channel_->close();
         fail(sent_ ? base::error_code::unknown_effect
                    : base::error_code::not_sent,
@@ -145,6 +169,10 @@
     std::shared_ptr<channel> channel_;
     http_response answer_;
     bool sent_ = false;
+    std::optional<progress_limits> progress_;
+    std::function<void()> on_progress_;
+    /// Length of the body at the last check of its progress.
+    std::size_t checked_bytes_ = 0;
 };
 
 http_client::~http_client()
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,19 +3,35 @@
 #include "src/base/error.hpp"
 #include "src/net/channel.hpp"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace tanagerlead::net
 {
 
+/// Least rate at which the body of an answer must arrive.
+struct progress_limits
+{
+    base::duration window_{};
+    /// Bytes that must arrive in each window.
+    std::size_t least_bytes_ = 0;
+};
+
 /// Timeouts of one call.
 struct call_limits
 {
-    /// From the start of the call until the complete answer.
+    /// From the start of the call until the complete answer, or until the head
+    /// of the answer if `progress_` is set.
     base::duration total_timeout_;
     /// Connecting within a region takes milliseconds.
     base::duration connect_timeout_ = std::chrono::milliseconds{700};
+    /// Limits the time of the body instead of `total_timeout_`, so that a large
+    /// answer may take as long as its link needs.
+    std::optional<progress_limits> progress_{};
+    /// Called when a part of the body has arrived.
+    std::function<void()> on_progress_{};
 };
 
 /// HTTP client for small answers, which are buffered whole. Reuses idle
--- a/src/routing/store_follower.cpp
+++ b/src/routing/store_follower.cpp
@@ -32,6 +32,7 @@
 void store_follower::restart(base::time_point now)
 {
     listings_.clear();
+    arriving_until_ = {};
     watch_.reset();
     watch_at_ = base::time_point::max();
     peer_revision_ = {};
@@ -47,7 +48,7 @@
         return;
     }
     position_ = position;
-    if (watch_)
+    if (watch_ && !watch_->is_arriving_)
     {
         watch_->due_ =
             std::min(watch_->due_, watch_due(watch_->started_, watch_time()));
@@ -81,7 +82,7 @@
         return;
     }
     peer_revision_ = revision;
-    if (watch_ && peer_revision_ > revision_)
+    if (watch_ && !watch_->is_arriving_ && peer_revision_ > revision_)
     {
         watch_->due_ = std::min(watch_->due_, now + change_margin);
     }
@@ -91,7 +92,7 @@
 {
     if (is_lost())
     {
-        list_at_ = now;
+        list_at_ = std::max(now, arriving_until_);
     }
 }
 
@@ -99,7 +100,7 @@
 {
     if (list_at_ != base::time_point::max())
     {
-        list_at_ = now;
+        list_at_ = std::max(now, arriving_until_);
     }
 }
 
@@ -110,6 +111,22 @@
                listings_.end();
 }
 
+void store_follower::on_progress(store_call_id call, base::time_point now)
+{
+    if (!is_wanted(call))
+    {
+        return;
+    }
+    if (watch_ && watch_->id_ == call)
+    {
+        watch_->is_arriving_ = true;
+        watch_->due_ = std::max(watch_->due_, now + progress_margin);
+        return;
+    }
+    arriving_until_ = now + progress_margin;
+    list_at_ = std::max(list_at_, arriving_until_);
+}
+
 void store_follower::on_listed(store_call_id call, store_revision revision,
                                store_revision newest, base::time_point now)
 {
@@ -118,6 +135,7 @@
         return;
     }
     listings_.clear();
+    arriving_until_ = {};
     list_at_ = base::time_point::max();
     watch_at_ = now;
     backoff_ = initial_backoff;
@@ -175,6 +193,7 @@
         return;
     }
     std::erase(listings_, call);
+    arriving_until_ = {};
     auto const next = now + jittered(backoff_);
     backoff_ = std::min(2 * backoff_, max_backoff);
     list_again(gap::call_failed, std::min(list_at_, next));
--- a/src/routing/store_follower.hpp
+++ b/src/routing/store_follower.hpp
@@ -76,6 +76,11 @@
     static constexpr base::duration max_restart_delay =
         std::chrono::milliseconds{300};
 
+    /// An answer that is arriving counts as stalled after this long without a
+    /// further part. The client of the store sets the least rate.
+    static constexpr base::duration progress_margin =
+        std::chrono::milliseconds{1200};
+
     /// Why the follower may have missed changes.
     enum class gap : std::uint8_t
     {
@@ -110,6 +115,9 @@
 
     /// Whether the answer to the call is still wanted.
     bool is_wanted(store_call_id call) const;
+    /// A part of the answer has arrived. The call is not overdue and no other
+    /// attempt competes with it for the link.
+    void on_progress(store_call_id call, base::time_point now);
     /// A listing is complete; `newest` is the latest revision among its items.
     void on_listed(store_call_id call, store_revision revision,
                    store_revision newest, base::time_point now);
@@ -137,6 +145,7 @@
         base::time_point started_;
         /// The follower gives it up then.
         base::time_point due_;
+        bool is_arriving_ = false;
     };
 
     base::duration watch_time() const;
@@ -155,6 +164,8 @@
     std::optional<pending_watch> watch_;
     base::time_point list_at_ = base::time_point::max();
     base::time_point watch_at_ = base::time_point::max();
+    /// Until then no listing competes with one whose answer is arriving.
+    base::time_point arriving_until_{};
     base::duration backoff_ = initial_backoff;
     /// The watches of all daemons end with a change, so the next ones are
     /// staggered.
