--- a/src/entry/origin_store.cpp
+++ b/src/entry/origin_store.cpp
@@ -95,7 +95,8 @@
 {
     store_.list(origins_prefix, after, false,
                 calls_.wrap([this](base::result<store_page> const& page)
-                            { on_page(page); }));
+                            { on_page(page); }),
+                {});
 }
 
 void origin_store::on_page(base::result<store_page> const& page)
