--- a/tests/entry/report_codec_test.cpp
+++ b/tests/entry/report_codec_test.cpp
@@ -143,7 +143,8 @@
     peer_report empty;
     auto bytes = write_report(empty);
     // The head ends with five empty lists.
-    bytes.resize(bytes_before_lists + 5 * 2);
+    constexpr std::size_t bytes_of_lists = 5 * sizeof(std::uint16_t);
+    bytes.resize(bytes_before_lists + bytes_of_lists);
     bytes[0] = 2;
     auto const got =
         read_report(bytes + numbered_section(2, std::string(3, '\1')));
