Origins are kept in the store as long as two versions serve

A pool counted as having two versions for 20 s after the last change of the registry, since only a change renewed what had been seen. With two versions in service and a registry at rest, origins of streams were no longer written, and a loss of all daemons left their streams without a version.

Versions that serve now count without a time; those that have left count for the retention. The new case of origin_archive_test fails before: nothing is written after an hour.

--- a/src/routing/origin_archive.cpp
+++ b/src/routing/origin_archive.cpp
@@ -5,11 +5,28 @@
 namespace tanagerlead::routing
 {
 
+void origin_archive::pool_record::set_serving(
+    std::set<base::software_version> versions, base::time_point now)
+{
+    for (auto const& version : serving_)
+    {
+        left_[version] = now;
+    }
+    serving_ = std::move(versions);
+    std::erase_if(left_,
+                  [&](auto const& left) {
+                      return serving_.contains(left.first) ||
+                             now - left.second > retention;
+                  });
+}
+
 bool origin_archive::pool_record::has_versions(base::time_point now) const
 {
-    return std::count_if(seen_.begin(), seen_.end(),
-                         [now](auto const& seen)
-                         { return now - seen.second <= retention; }) > 1;
+    auto const left =
+        std::count_if(left_.begin(), left_.end(),
+                      [now](auto const& version)
+                      { return now - version.second <= retention; });
+    return serving_.size() + static_cast<std::size_t>(left) > 1;
 }
 
 base::duration origin_archive::interval() const
@@ -31,18 +48,22 @@
 void origin_archive::set_targets(std::vector<target_info> const& targets,
                                  base::time_point now)
 {
+    std::map<base::pool_id, std::set<base::software_version>> serving;
     for (auto const& info : targets)
     {
-        pools_[info.pool_].seen_[info.version_] = now;
+        serving[info.pool_].insert(info.version_);
+        pools_.try_emplace(info.pool_);
     }
     for (auto& [id, p] : pools_)
     {
-        std::erase_if(p.seen_, [now](auto const& seen)
-                      { return now - seen.second > retention; });
+        p.set_serving(std::move(serving[id]), now);
         schedule(p, now);
     }
     std::erase_if(pools_,
-                  [](auto const& entry) { return entry.second.seen_.empty(); });
+                  [](auto const& entry) {
+                      return entry.second.serving_.empty() &&
+                             entry.second.left_.empty();
+                  });
 }
 
 void origin_archive::on_begun(base::pool_id const& pool, stream_origin origin,
--- a/src/routing/origin_archive.hpp
+++ b/src/routing/origin_archive.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace tanagerlead::routing
@@ -43,10 +44,15 @@
 private:
     struct pool_record
     {
-        std::map<base::software_version, base::time_point> seen_;
+        /// Versions of the current targets.
+        std::set<base::software_version> serving_;
+        /// Versions whose last target left a short while ago, and when.
+        std::map<base::software_version, base::time_point> left_;
         /// Own origins that are not written yet, oldest first.
         std::deque<std::pair<base::time_point, stream_origin>> unwritten_;
 
+        void set_serving(std::set<base::software_version> versions,
+                         base::time_point now);
         bool has_versions(base::time_point now) const;
     };
 
--- a/tests/routing/origin_archive_test.cpp
+++ b/tests/routing/origin_archive_test.cpp
@@ -85,6 +85,17 @@
     LONGS_EQUAL(2, written(32s));
 }
 
+// A registry without changes is not announced again.
+TEST(origin_archive, writes_as_long_as_two_versions_serve)
+{
+    show({"1", "2"}, 0s);
+    archive_.on_begun(pool, origin(1), at(1h));
+    LONGS_EQUAL(1, written(1h + origin_archive::min_interval));
+    show({"2"}, 2h);
+    archive_.on_begun(pool, origin(2), at(2h + 1s));
+    LONGS_EQUAL(1, written(2h + 2s));
+}
+
 // The streams of the old version may still be taken up.
 TEST(origin_archive, goes_on_for_a_while_after_a_version_has_left)
 {
