Time counts suspensions of the machine

The steady clock stands still while a machine is suspended, so what a daemon was granted for a while (leases, the freshness of the registry, permissions of a rollout, shares of limits) looked fresh after a suspension of any length.

All decisions take their time from one function, which reads the clock that counts suspensions now. Timers keep running on the steady clock, so one that was pending fires late by the suspension; the next event sees the right time.

The new test can fail before only on a machine that was suspended; this one was not, so it was not shown to fail.

--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -15,11 +15,16 @@
     virtual time_point now() const = 0;
 };
 
-/// Monotonic time of this machine.
+/// Time since this machine booted, which never steps. It counts the time in
+/// which the machine was suspended, so what was granted for a while before a
+/// suspension has run out after it.
+time_point time_since_boot();
+
+/// The clock of `time_since_boot`.
 class steady_clock final : public clock
 {
 public:
-    time_point now() const override;
+    time_point now() const override { return time_since_boot(); }
 };
 
 /// Time that a test sets.
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,14 +1,13 @@
 #include "src/net/event_loop.hpp"
 
-#include <chrono>
+#include "src/base/clock.hpp"
 
 namespace tanagerlead::net
 {
 
 base::time_point now()
 {
-    return base::time_point{std::chrono::duration_cast<base::duration>(
-        std::chrono::steady_clock::now().time_since_epoch())};
+    return base::time_since_boot();
 }
 
 deadline_timer::deadline_timer(asio::io_context& loop,
@@ -35,9 +34,9 @@
 void deadline_timer::arm()
 {
     timer_expiry_ = deadline_;
-    timer_.expires_at(std::chrono::steady_clock::time_point{
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-            timer_expiry_.time_since_epoch())});
+    auto const current = now();
+    timer_.expires_after(timer_expiry_ > current ? timer_expiry_ - current
+                                                 : base::duration{});
     timer_.async_wait(
         [this, alive = alive_](error_code const& error)
         {
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -14,8 +14,9 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
-/// Current time of the steady clock, which event loops and decision objects
-/// share as their time base.
+/// Current time, which event loops and decision objects share as their time
+/// base. It counts suspensions of the machine; a timer that was running during
+/// one fires late by its length.
 base::time_point now();
 
 /// Calls a handler once at a deadline that can be moved. Moving the deadline to
