A configuration document can be checked before it is sent

Operators learn only from effects that a route is shadowed by another one, that a pool does not exist, or that a quota admits no request.

Parts of prompts are dropped on arrival where kept beginnings are not weighed, since each attempt copied them.

--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -332,6 +332,11 @@
     context.id_ = {incarnation_, next_call_++};
     context.request_ = std::move(request);
     context.metadata_ = std::move(metadata);
+    if (!settings_.weighs_kept_prompts_)
+    {
+        // Each attempt would copy them.
+        context.metadata_.sized_parts_.clear();
+    }
     context.configuration_ = configuration_;
     context.route_ = found.route_;
     context.workspace_ = found.workspace_;
--- a/tools/entry/tanagerlead_entryd.cpp
+++ b/tools/entry/tanagerlead_entryd.cpp
@@ -2,6 +2,7 @@
 #include "platform/wire_protocol.hpp"
 #include "src/base/log.hpp"
 #include "src/entry/entry_daemon.hpp"
+#include "tools/entry/configuration_report.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -11,10 +12,15 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "settings file (JSON)");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(std::string, check_configuration, "",
+          "check this configuration document (JSON) and exit");
+ABSL_FLAG(std::string, in_force, "",
+          "with --check_configuration: the document in force, to compare with");
 
 namespace
 {
@@ -40,10 +46,23 @@
     std::signal(SIGHUP, SIG_IGN);
     absl::SetProgramUsageMessage(
         "tanagerlead_entryd --settings=FILE [--check]\n"
+        "tanagerlead_entryd --check_configuration=FILE [--in_force=FILE]\n"
         "Routes requests to targets that register themselves. SIGTERM is a "
         "planned stop, SIGHUP reads the settings again.\nExit codes: 0 stopped "
-        "as planned or settings right, 1 failed, 2 wrong use or settings.");
+        "as planned or nothing wrong, 1 failed, 2 wrong use, settings or "
+        "document, 3 a configuration with findings.");
     absl::ParseCommandLine(argc, argv);
+    if (auto const document = absl::GetFlag(FLAGS_check_configuration);
+        !document.empty())
+    {
+        std::optional<std::string> in_force;
+        if (auto const path = absl::GetFlag(FLAGS_in_force); !path.empty())
+        {
+            in_force = read_file(path);
+        }
+        return tanagerlead::tools::report_configuration(read_file(document),
+                                                        in_force);
+    }
     auto const path = absl::GetFlag(FLAGS_settings);
     auto const settings = tanagerlead::entry::read_settings(read_file(path));
     if (!settings)
