A connection proves its version by a reading of the registry

Callers were sent a stream joined from two versions where the store was silent to a daemon that had not noticed it: a target that had restarted under its id was taken for the process before, since its entry had not changed for a second.

A target registers before it accepts connections. So the version is known once the entry was read after the connect, or once all changes until then are known; time alone proves nothing. Readings are asked for by streams that must go on, by questions of other daemons, and by new streams while two versions serve. The wait of a second before a resumption is gone.

--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -84,7 +84,7 @@
     /// The version of the process at the other end of a connection to `target`.
     virtual routing::version_finding
     version_of(routing::target_info const& target,
-               base::time_point connected_at) const = 0;
+               base::time_point connected_at) = 0;
 
     virtual void acquire_channel(
         routing::target_info const& target, base::duration max_idle,
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -30,7 +30,9 @@
 control_plane::control_plane(net::asio::io_context& loop, metadata_store& store,
                              protocol const& wire, settings const& s,
                              control_plane_outputs outputs)
-    : settings_{s}, configuration_{wire, std::move(outputs.configuration_)},
+    : settings_{s}, store_{store}, protocol_{wire}, entry_read_{std::move(
+                                                        outputs.entry_read_)},
+      configuration_{wire, std::move(outputs.configuration_)},
       registry_{loop, wire, std::move(outputs.targets_)},
       configuration_watcher_{loop,
                              store,
@@ -47,10 +49,10 @@
                         {wire.target_prefix(), min_registry_interval,
                          [this] { configuration_watcher_.on_store_reached(); },
                          [this, report = std::move(outputs.registry_changed_)](
-                             store_revision newest)
-                         {
+                             store_revision newest) {
                              report({era_.current(), newest});
-                         }},
+                         },
+                         std::move(outputs.registry_confirmed_)},
                         base::entropy()},
       registration_{loop, store, s.daemon_.str(), s.callers_.ip_,
                     std::move(outputs.daemons_)},
@@ -85,6 +87,7 @@
     registry_.on_new_era();
     configuration_watcher_.restart();
     registry_watcher_.restart();
+    calls_.give_up_calls();
     registration_.on_new_era();
     origins_.on_new_era();
     report_restoration_();
@@ -160,6 +163,35 @@
         });
 }
 
+void control_plane::read_entry(base::target_id const& target)
+{
+    store_.read(protocol_.target_prefix() + target.str(),
+                calls_.wrap([this, target, asked = net::now()](
+                                base::result<store_item> const& item)
+                            { on_entry(target, asked, item); }));
+}
+
+// A failed reading proves nothing, and neither does an entry that cannot be
+// read.
+void control_plane::on_entry(base::target_id const& target,
+                             base::time_point asked,
+                             base::result<store_item> const& item)
+{
+    if (!item)
+    {
+        if (item.error().code_ == base::error_code::not_found)
+        {
+            entry_read_(target, std::nullopt, asked);
+        }
+        return;
+    }
+    auto entry = protocol_.read_target(item.value().key_, item.value().value_);
+    if (entry)
+    {
+        entry_read_(target, std::move(entry).value(), asked);
+    }
+}
+
 // Revisions of different eras cannot be compared.
 void control_plane::on_registry_change(routing::registry_change change)
 {
--- a/src/entry/control_plane.hpp
+++ b/src/entry/control_plane.hpp
@@ -28,6 +28,19 @@
     /// true when it has been read again.
     std::function<void(bool is_current)> registry_state_ = [](bool) {
     };
+    /// Called with a time until which all changes of the registry are in the
+    /// targets.
+    std::function<void(base::time_point)> registry_confirmed_ =
+        [](base::time_point) {
+        };
+    /// Called with the registry entry of a target, if there is one, and when
+    /// its reading was sent.
+    std::function<void(base::target_id, std::optional<routing::target_info>,
+                       base::time_point asked)>
+        entry_read_ = [](base::target_id const&,
+                         std::optional<routing::target_info> const&,
+                         base::time_point) {
+        };
     /// Called with origins of streams that were read from the store.
     origin_store::read_callback origins_ = [](routing::stream_message const&) {
     };
@@ -58,6 +71,8 @@
         origins_.write(std::move(message));
     }
     void read_origins() { origins_.read(); }
+    /// Reads the registry entry of one target as it is now.
+    void read_entry(base::target_id const& target);
     /// Place of this daemon among those that hear each other.
     void on_position(routing::follower_position position);
     /// Stops reading the store and deregisters this daemon. `done` may run
@@ -66,11 +81,16 @@
 
 private:
     void on_new_era(store_era fresh);
+    void on_entry(base::target_id const& target, base::time_point asked,
+                  base::result<store_item> const& item);
     void
     serve_configuration(std::shared_ptr<net::caller_connection> const& from,
                         net::http_request const& request);
 
     settings settings_;
+    metadata_store& store_;
+    protocol const& protocol_;
+    decltype(control_plane_outputs::entry_read_) entry_read_;
     rate_limited_log log_{"control"};
     configuration_reader configuration_;
     registry_reader registry_;
@@ -85,6 +105,8 @@
     /// Connections that may still send the configuration to another daemon.
     std::vector<std::weak_ptr<net::caller_connection>> served_;
     bool is_fetching_ = false;
+    /// Readings of single entries.
+    callback_guard calls_;
 };
 
 } // namespace tanagerlead::entry
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -67,10 +67,15 @@
                     on_quarantine_changed();
                 }}},
       origins_{loop, peers_,
+               [this](routing::target_info const& target,
+                      base::time_point connected_at) {
+                   return target_versions_.version_of(target, connected_at,
+                                                      net::now());
+               },
                [this](routing::target_info const& target,
                       base::time_point connected_at)
                {
-                   return version_of(target, connected_at);
+                   prove_version(target, connected_at);
                }},
       daemon_directory_{settings_, protocol_, peers_.board()},
       callers_{
@@ -175,7 +180,44 @@
 void data_plane::on_registry_state(bool is_current, base::time_point at)
 {
     is_current ? target_versions_.on_registry_current(at)
-               : target_versions_.on_registry_lost(at);
+               : target_versions_.on_registry_lost();
+}
+
+void data_plane::on_registry_confirmed(base::time_point at)
+{
+    target_versions_.on_registry_confirmed(at);
+}
+
+void data_plane::prove_version(routing::target_info const& target,
+                               base::time_point connected_at)
+{
+    auto const now = net::now();
+    if (target_versions_.is_settled(now) &&
+        entry_readings_.start(target.id_, connected_at, now))
+    {
+        read_entry_(target.id_);
+    }
+}
+
+void data_plane::on_entry_read(base::target_id const& target,
+                               std::optional<routing::target_info> const& entry,
+                               base::time_point asked)
+{
+    target_versions_.on_entry_read(target, entry, asked);
+    origins_.on_versions_proved();
+}
+
+routing::version_finding
+data_plane::version_of(routing::target_info const& target,
+                       base::time_point connected_at)
+{
+    auto const found =
+        target_versions_.version_of(target, connected_at, net::now());
+    if (found.known_from_)
+    {
+        prove_version(target, connected_at);
+    }
+    return found;
 }
 
 void data_plane::find_origin(call& resumed)
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -9,6 +9,7 @@
 #include "src/entry/stream_origin_exchange.hpp"
 #include "src/entry/target_links.hpp"
 #include "src/net/http_listener.hpp"
+#include "src/routing/entry_readings.hpp"
 #include "src/routing/quota_limiter.hpp"
 #include "src/routing/retry_budget.hpp"
 #include "src/routing/target_versions.hpp"
@@ -55,6 +56,17 @@
         origins_.on_archived(message);
     }
 
+    /// Reads the registry entry of a target; `on_entry_read` follows unless
+    /// the store does not answer.
+    void
+    set_entry_reader(std::function<void(base::target_id const& target)> read)
+    {
+        read_entry_ = std::move(read);
+    }
+    void on_entry_read(base::target_id const& target,
+                       std::optional<routing::target_info> const& entry,
+                       base::time_point asked);
+
     base::result<void> start();
     /// Local addresses of the listeners.
     base::address callers_address() const { return callers_.local_address(); }
@@ -68,6 +80,8 @@
     /// Since `at`, the targets are known to be those of the registry, or are
     /// not. Until the first call they are not.
     void on_registry_state(bool is_current, base::time_point at);
+    /// All changes of the registry until `at` are in the targets.
+    void on_registry_confirmed(base::time_point at);
     void on_daemons(std::vector<std::string> const& ips);
     /// This daemon has read a change of the registry.
     void on_registry_change(routing::registry_change change);
@@ -124,12 +138,8 @@
     {
         return dispatcher_.pool_of(version);
     }
-    routing::version_finding
-    version_of(routing::target_info const& target,
-               base::time_point connected_at) const override
-    {
-        return target_versions_.version_of(target, connected_at, net::now());
-    }
+    routing::version_finding version_of(routing::target_info const& target,
+                                        base::time_point connected_at) override;
     routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
     base::duration retry_after(call const& refused) override;
@@ -188,6 +198,10 @@
                     request_metadata metadata,
                     std::optional<relay_terms> const& relay = std::nullopt);
     static void refuse_relayed(connection_ptr const& from);
+    /// Reads the target's entry if that tells which process is behind a
+    /// connection.
+    void prove_version(routing::target_info const& target,
+                       base::time_point connected_at);
     void on_reach_changed(base::pool_id const& pool);
     bool admit(connection_ptr const& from, call::request_context& context);
     void reject(connection_ptr const& from, int status, char const* cause,
@@ -244,6 +258,10 @@
     routing::configuration_ptr configuration_;
     base::time_point configured_at_{};
     routing::target_versions target_versions_;
+    routing::entry_readings entry_readings_;
+    std::function<void(base::target_id const&)> read_entry_ =
+        [](base::target_id const&) {
+        };
     std::map<routing::id_digest, base::workspace_id> workspaces_;
     std::map<base::request_id, std::shared_ptr<call>> calls_;
     std::array<routing::usage_schedule, report_group_count> usage_schedules_{};
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -67,6 +67,19 @@
                    data_plane_loop_, [this, is_current, at = net::now()]
                    { data_plane_.on_registry_state(is_current, at); });
            },
+           [this](base::time_point at)
+           {
+               net::asio::post(data_plane_loop_, [this, at]
+                               { data_plane_.on_registry_confirmed(at); });
+           },
+           [this](base::target_id const& target,
+                  std::optional<routing::target_info> const& entry,
+                  base::time_point asked)
+           {
+               net::asio::post(
+                   data_plane_loop_, [this, target, entry, asked]
+                   { data_plane_.on_entry_read(target, entry, asked); });
+           },
            [this](routing::stream_message message)
            {
                net::asio::post(data_plane_loop_,
@@ -91,6 +104,12 @@
              net::asio::post(control_loop_, [this, position]
                              { control_plane_.on_position(position); });
          }});
+    data_plane_.set_entry_reader(
+        [this](base::target_id const& target)
+        {
+            net::asio::post(control_loop_, [this, target]
+                            { control_plane_.read_entry(target); });
+        });
     data_plane_.set_origin_archive(
         {[this](routing::stream_message message)
          {
--- a/src/entry/store_watcher.cpp
+++ b/src/entry/store_watcher.cpp
@@ -105,7 +105,8 @@
         }
         else
         {
-            read_page(std::make_shared<listing>(listing{call.id_, {}, {}}));
+            read_page(std::make_shared<listing>(
+                listing{call.id_, {}, {}, net::now()}));
         }
     }
     timer_.set(follower_.next_wakeup());
@@ -168,23 +169,24 @@
         settings_.on_recovered_();
     }
     observer_.on_items(pages->items_);
+    settings_.on_confirmed_(pages->asked_);
     report_newest_change();
     advance();
 }
 
 void store_watcher::watch(store_call const& call)
 {
-    store_.watch(
-        settings_.prefix_, call.after_, call.wait_,
-        calls_.wrap([this, id = call.id_](base::result<store_changes> changes)
-                    { on_changes(id, std::move(changes)); }),
-        progress_of(call.id_));
+    store_.watch(settings_.prefix_, call.after_, call.wait_,
+                 calls_.wrap([this, call, asked = net::now()](
+                                 base::result<store_changes> changes)
+                             { on_changes(call, asked, std::move(changes)); }),
+                 progress_of(call.id_));
 }
 
-void store_watcher::on_changes(store_call_id call,
+void store_watcher::on_changes(store_call const& call, base::time_point asked,
                                base::result<store_changes> changes)
 {
-    if (!follower_.is_wanted(call))
+    if (!follower_.is_wanted(call.id_))
     {
         return;
     }
@@ -193,11 +195,11 @@
         if (changes.error().code_ == base::error_code::not_found)
         {
             // The history was compacted; this is not an outage.
-            follower_.on_history_lost(call, net::now());
+            follower_.on_history_lost(call.id_, net::now());
             advance();
             return;
         }
-        on_failure(call, changes.error());
+        on_failure(call.id_, changes.error());
         return;
     }
     auto const& result = changes.value();
@@ -206,12 +208,17 @@
     {
         newest = newest_of(result.items_);
     }
-    follower_.on_changes(call, result.revision_, newest, net::now());
+    auto const now = net::now();
+    follower_.on_changes(call.id_, result.revision_, newest, now);
     if (newest)
     {
         observer_.on_changes(result.items_);
         report_newest_change();
     }
+    // A watch that ends without changes has waited for all of its time, however
+    // late its answer is.
+    auto const has_waited = !newest && now - asked >= call.wait_;
+    settings_.on_confirmed_(has_waited ? asked + call.wait_ : asked);
     advance();
 }
 
--- a/src/entry/store_watcher.hpp
+++ b/src/entry/store_watcher.hpp
@@ -43,6 +43,10 @@
         std::function<void(store_revision)> on_newest_change_ =
             [](store_revision) {
             };
+        /// Called with a time until which all changes have been passed on.
+        std::function<void(base::time_point)> on_confirmed_ =
+            [](base::time_point) {
+            };
     };
 
     /// `store` and `observer` must outlive the watcher.
@@ -75,6 +79,7 @@
         std::vector<store_item> items_;
         /// Changes between two pages are returned by the first watch.
         std::optional<store_revision> first_page_revision_;
+        base::time_point asked_;
     };
 
     void advance();
@@ -83,7 +88,7 @@
     void on_page(std::shared_ptr<listing> const& pages,
                  base::result<store_page> page);
     void watch(routing::store_call const& call);
-    void on_changes(routing::store_call_id call,
+    void on_changes(routing::store_call const& call, base::time_point asked,
                     base::result<store_changes> changes);
     void on_failure(routing::store_call_id call, base::error const& why);
     void report_gap(base::error const& why);
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -22,11 +22,13 @@
 
 stream_origin_exchange::stream_origin_exchange(net::asio::io_context& loop,
                                                peer_exchange& peers,
-                                               version_finder version_of)
-    : peers_{peers}, version_of_{std::move(version_of)}, timer_{loop, [this]
-                                                                {
-                                                                    advance();
-                                                                }}
+                                               version_finder version_of,
+                                               version_prover prove)
+    : peers_{peers}, version_of_{std::move(version_of)},
+      prove_{std::move(prove)}, timer_{loop, [this]
+                                       {
+                                           advance();
+                                       }}
 {
 }
 
@@ -56,6 +58,10 @@
                                  routing::target_versions::removal_retention;
     if (may_be_known && unresolved_.size() < max_unresolved)
     {
+        if (is_wanted(origin))
+        {
+            prove_(origin.target_, origin.connected_at_);
+        }
         origin.due_ = std::min(*found.known_from_, now + recheck_interval);
         unresolved_.push_back(std::move(origin));
         return;
@@ -72,6 +78,22 @@
     }
 }
 
+// Other origins are found when the registry is read for other reasons.
+bool stream_origin_exchange::is_wanted(unresolved_origin const& origin) const
+{
+    return !origin.askers_.empty() || pending_.contains(origin.attempt_) ||
+           archive_.keeps(origin.target_.pool_, net::now());
+}
+
+void stream_origin_exchange::on_versions_proved()
+{
+    for (auto& origin : unresolved_)
+    {
+        origin.due_ = net::now();
+    }
+    advance();
+}
+
 void stream_origin_exchange::note_askers(
     routing::peer_ip from,
     std::vector<routing::attempt_digest> const& questions)
@@ -85,6 +107,7 @@
             std::find(askers.begin(), askers.end(), from) == askers.end())
         {
             askers.push_back(from);
+            prove_(origin.target_, origin.connected_at_);
         }
     }
 }
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -23,6 +23,11 @@
     using version_finder = std::function<routing::version_finding(
         routing::target_info const& target, base::time_point connected_at)>;
 
+    /// Asks for the version of the target behind a connection, which is not
+    /// known yet; `on_versions_proved` may follow.
+    using version_prover = std::function<void(
+        routing::target_info const& target, base::time_point connected_at)>;
+
     /// Calls that keep origins in the store and read those of all daemons.
     struct archive_callbacks
     {
@@ -32,7 +37,7 @@
 
     /// `peers` must outlive the exchange.
     stream_origin_exchange(net::asio::io_context& loop, peer_exchange& peers,
-                           version_finder version_of);
+                           version_finder version_of, version_prover prove);
 
     void set_archive_callbacks(archive_callbacks callbacks)
     {
@@ -44,6 +49,8 @@
     {
         archive_.set_fleet_size(daemons);
     }
+    /// Versions that were asked for may be known now.
+    void on_versions_proved();
     /// Origins were read from the store.
     void on_archived(routing::stream_message const& message);
 
@@ -74,6 +81,7 @@
     };
 
     void resolve(unresolved_origin origin);
+    bool is_wanted(unresolved_origin const& origin) const;
     void note_askers(routing::peer_ip from,
                      std::vector<routing::attempt_digest> const& questions);
     void resolve_due();
@@ -86,6 +94,7 @@
 
     peer_exchange& peers_;
     version_finder version_of_;
+    version_prover prove_;
     routing::stream_origins origins_;
     routing::origin_archive archive_;
     archive_callbacks archive_callbacks_{[](routing::stream_message const&) {},
--- a/src/routing/origin_archive.cpp
+++ b/src/routing/origin_archive.cpp
@@ -83,6 +83,13 @@
     schedule(p, now);
 }
 
+bool origin_archive::keeps(base::pool_id const& pool,
+                           base::time_point now) const
+{
+    auto const found = pools_.find(pool);
+    return found != pools_.end() && found->second.has_versions(now);
+}
+
 std::vector<stream_message> origin_archive::take_due(base::time_point now)
 {
     std::vector<stream_message> out;
--- a/src/routing/origin_archive.hpp
+++ b/src/routing/origin_archive.hpp
@@ -37,6 +37,8 @@
     /// A stream of this daemon began in `pool`, or goes on here.
     void on_begun(base::pool_id const& pool, stream_origin origin,
                   base::time_point now);
+    /// Whether origins of streams in this pool are kept in the store now.
+    bool keeps(base::pool_id const& pool, base::time_point now) const;
     /// What is to be written now.
     std::vector<stream_message> take_due(base::time_point now);
     base::time_point next_wakeup() const { return write_at_; }
--- a/src/routing/target_versions.cpp
+++ b/src/routing/target_versions.cpp
@@ -5,6 +5,16 @@
 namespace tanagerlead::routing
 {
 
+namespace
+{
+
+bool is_same_process(target_info const& a, target_info const& b)
+{
+    return a.is_same_incarnation(b) && a.version_ == b.version_;
+}
+
+} // namespace
+
 void target_versions::set_targets(std::vector<target_info> const& targets,
                                   base::time_point now)
 {
@@ -14,7 +24,13 @@
     }
     for (auto const& info : targets)
     {
-        entries_[info.id_] = {info, std::nullopt};
+        auto& known = entries_[info.id_];
+        if (!is_same_process(known.info_, info))
+        {
+            known = {};
+        }
+        known.info_ = info;
+        known.removed_at_.reset();
     }
     std::erase_if(entries_,
                   [now](auto const& known)
@@ -25,12 +41,8 @@
                   });
 }
 
-void target_versions::on_registry_lost(base::time_point now)
+void target_versions::on_registry_lost()
 {
-    if (is_current(now))
-    {
-        lost_at_ = now - notice_time;
-    }
     settled_at_ = base::time_point::max();
 }
 
@@ -39,6 +51,34 @@
     settled_at_ = now + registration_time;
 }
 
+void target_versions::on_registry_confirmed(base::time_point at)
+{
+    if (is_settled(at))
+    {
+        confirmed_at_ = std::max(confirmed_at_, at);
+    }
+}
+
+// A target that restarts replaces its entry, so without one no other process
+// has come.
+void target_versions::on_entry_read(base::target_id const& id,
+                                    std::optional<target_info> const& entry,
+                                    base::time_point asked)
+{
+    auto const known = entries_.find(id);
+    if (known == entries_.end() || !is_settled(asked))
+    {
+        return;
+    }
+    auto& mine = known->second;
+    if (entry && !is_same_process(mine.info_, *entry))
+    {
+        mine.is_replaced_ = true;
+        return;
+    }
+    mine.proved_at_ = std::max(mine.proved_at_, asked);
+}
+
 // A target that restarts replaces its entry, so a removed entry described its
 // process to the end.
 version_finding target_versions::version_of(target_info const& target,
@@ -47,18 +87,22 @@
 {
     auto const known = entries_.find(target.id_);
     if (known == entries_.end() ||
-        !known->second.info_.is_same_incarnation(target))
+        !is_same_process(known->second.info_, target))
     {
         return {};
     }
+    auto const& mine = known->second;
     auto const version = digest_of(target.pool_, target.version_);
-    auto const published_at = connected_at + publication_time;
-    auto const current_until = is_current(now) ? now : lost_at_;
-    if (version == unknown_version || current_until >= published_at)
+    auto const proved_at = std::max(mine.proved_at_, confirmed_at_);
+    if (version == unknown_version || connected_at <= proved_at)
     {
         return {version, {}};
     }
-    return {version, std::max(published_at, settled_at_)};
+    if (mine.is_replaced_)
+    {
+        return {};
+    }
+    return {version, std::max(settled_at_, now + recheck_interval)};
 }
 
 } // namespace tanagerlead::routing
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -43,6 +43,13 @@
             {
                 CHECK(data_plane_.start().has_value());
                 data_plane_.on_daemons({});
+                data_plane_.set_entry_reader(
+                    [this](base::target_id const& target)
+                    {
+                        ++entry_readings_;
+                        net::asio::post(loop_, [this, target, now = net::now()]
+                                        { answer_reading(target, now); });
+                    });
                 data_plane_.on_registry_state(true, net::now() - registry_age);
             });
     }
@@ -106,8 +113,9 @@
 
     /// A target's id is its place in the list; null stands for one that is
     /// gone. Targets without an entry in `versions` run version 1.
-    void set_targets(std::vector<scripted_target const*> const& targets,
-                     std::vector<std::string> const& versions = {})
+    static std::vector<routing::target_info>
+    entries_of(std::vector<scripted_target const*> const& targets,
+               std::vector<std::string> const& versions = {})
     {
         std::vector<routing::target_info> infos;
         std::size_t place = 0;
@@ -128,7 +136,13 @@
             info.version_ = base::software_version{version};
             infos.push_back(info);
         }
-        on_loop([&] { data_plane_.on_targets(infos); });
+        return infos;
+    }
+
+    void set_targets(std::vector<scripted_target const*> const& targets,
+                     std::vector<std::string> const& versions = {})
+    {
+        set_registry(entries_of(targets, versions));
     }
 
     base::address callers()
@@ -140,7 +154,31 @@
 
     void set_registry(std::vector<routing::target_info> const& infos)
     {
-        on_loop([&] { data_plane_.on_targets(infos); });
+        on_loop(
+            [&]
+            {
+                registry_ = infos;
+                data_plane_.on_targets(infos);
+            });
+    }
+
+    /// Changes the registry, and the daemon does not hear of it.
+    void change_registry_unheard(std::vector<routing::target_info> const& infos)
+    {
+        on_loop([&] { registry_ = infos; });
+    }
+
+    /// Readings of single entries are not answered.
+    void silence_registry()
+    {
+        on_loop([this] { is_registry_silent_ = true; });
+    }
+
+    int entry_readings()
+    {
+        int out = 0;
+        on_loop([&] { out = entry_readings_; });
+        return out;
     }
 
     void set_daemons(std::vector<std::string> const& ips)
@@ -150,7 +188,12 @@
 
     void lose_registry()
     {
-        on_loop([&] { data_plane_.on_registry_state(false, net::now()); });
+        on_loop(
+            [&]
+            {
+                is_registry_silent_ = true;
+                data_plane_.on_registry_state(false, net::now());
+            });
     }
 
     base::address health()
@@ -192,6 +235,24 @@
         return s;
     }
 
+    void answer_reading(base::target_id const& target, base::time_point asked)
+    {
+        if (is_registry_silent_)
+        {
+            return;
+        }
+        auto const found = std::find_if(registry_.begin(), registry_.end(),
+                                        [&](auto const& entry)
+                                        { return entry.id_ == target; });
+        data_plane_.on_entry_read(
+            target,
+            found == registry_.end() ? std::nullopt : std::optional{*found},
+            asked);
+    }
+
+    std::vector<routing::target_info> registry_;
+    bool is_registry_silent_ = false;
+    int entry_readings_ = 0;
     net::asio::io_context loop_{1};
     net::asio::executor_work_guard<net::asio::io_context::executor_type> work_{
         loop_.get_executor()};
--- a/tests/entry/stream_version_test.cpp
+++ b/tests/entry/stream_version_test.cpp
@@ -133,6 +133,38 @@
     LONGS_EQUAL(0, second_.requests().size());
 }
 
+// The store is silent to the daemon, which has not noticed it yet.
+TEST(stream_version, is_not_taken_from_an_entry_that_may_be_outdated)
+{
+    begin_stream("q1");
+    entry_.set_targets({nullptr, &second_}, {"", "1"});
+    entry_.silence_registry();
+    auto const answer = ask(stream_request("q2", resumption_of("q1")));
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    LONGS_EQUAL(0, second_.requests().size());
+}
+
+TEST(stream_version, is_that_of_a_restart_which_the_daemon_has_not_heard_of)
+{
+    begin_stream("q1");
+    entry_.set_targets({nullptr, &second_}, {"", "1"});
+    entry_.change_registry_unheard(
+        entry_fixture::entries_of({nullptr, &second_}, {"", "2"}));
+    auto const answer = ask(stream_request("q2", resumption_of("q1")));
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    LONGS_EQUAL(0, second_.requests().size());
+}
+
+// While one version serves, no origin needs to be known at once.
+TEST(stream_version, is_not_read_for_streams_that_nobody_takes_up)
+{
+    entry_.set_targets({&first_}, {"1"});
+    ask(stream_request("q1"));
+    auto const before = entry_.entry_readings();
+    ask(stream_request("q2"));
+    CHECK(entry_.entry_readings() - before <= 1);
+}
+
 TEST(stream_version, is_not_trusted_while_the_registry_is_lost)
 {
     begin_stream("q1");
--- a/tests/routing/simulated_versions.cpp
+++ b/tests/routing/simulated_versions.cpp
@@ -19,6 +19,7 @@
 constexpr base::duration idle_time = 2s;
 constexpr int max_tries = 3;
 constexpr base::duration recheck_interval = 100ms;
+constexpr base::duration max_publication_time = 900ms;
 constexpr base::duration max_stream_pause = 1800ms;
 constexpr std::size_t max_attempts = 3;
 
@@ -75,6 +76,7 @@
     every(1.0, [this] { replace_target(); });
     every(0.1, [this] { ++version_; });
     every(0.2, [this] { lose_store(); });
+    every(1.0, [this] { confirm_registry(); });
     every(0.02 * static_cast<double>(settings_.daemons_),
           [this] { lose_daemon(); });
     while (!events_.empty() && events_.begin()->first <= end)
@@ -154,7 +156,7 @@
 // The registry passes a change on within a second.
 void simulated_versions::publish(std::size_t d, base::target_id const& id)
 {
-    after(between(20ms, 900ms),
+    after(between(20ms, max_publication_time),
           [this, d, id]
           {
               auto& to = *daemons_.at(d);
@@ -239,7 +241,7 @@
           {
               if (is_same())
               {
-                  daemons_.at(d)->versions_.on_registry_lost(now_);
+                  daemons_.at(d)->versions_.on_registry_lost();
               }
           });
     after(between(2s, 6s),
@@ -251,7 +253,7 @@
               }
               auto& back = *daemons_.at(d);
               back.reaches_store_ = true;
-              back.versions_.on_registry_lost(now_);
+              back.versions_.on_registry_lost();
               back.versions_.on_registry_current(now_);
               std::map<base::target_id, target_info> fresh;
               for (auto const& t : targets_)
@@ -313,11 +315,60 @@
     return true;
 }
 
-version_finding simulated_versions::version_of(daemon const& d,
+version_finding simulated_versions::version_of(std::size_t d,
                                                target_info const& entry,
-                                               connection const& c) const
+                                               connection const& c)
 {
-    return d.versions_.version_of(entry, c.connected_at_, now_);
+    auto& asker = *daemons_.at(d);
+    auto const found = asker.versions_.version_of(entry, c.connected_at_, now_);
+    if (found.known_from_ && asker.versions_.is_settled(now_) &&
+        asker.readings_.start(entry.id_, c.connected_at_, now_))
+    {
+        read_entry(d, entry.id_);
+    }
+    return found;
+}
+
+void simulated_versions::read_entry(std::size_t d, base::target_id const& id)
+{
+    auto const asked = now_;
+    auto const life = daemons_.at(d)->life_;
+    after(between(1ms, 5ms),
+          [this, d, id, asked, life]
+          {
+              if (!daemons_.at(d)->reaches_store_ || chance(loss))
+              {
+                  return;
+              }
+              std::optional<target_info> entry;
+              if (auto const* const t = find(id))
+              {
+                  entry = entry_of(*t);
+              }
+              auto const delay =
+                  chance(lateness) ? between(100ms, 600ms) : between(1ms, 5ms);
+              after(delay,
+                    [this, d, id, asked, life, entry]
+                    {
+                        auto& reader = *daemons_.at(d);
+                        if (reader.is_alive_ && reader.life_ == life)
+                        {
+                            reader.versions_.on_entry_read(id, entry, asked);
+                        }
+                    });
+          });
+}
+
+// Changes come at most this long after they were made.
+void simulated_versions::confirm_registry()
+{
+    for (auto const& d : daemons_)
+    {
+        if (d->is_alive_ && d->reaches_store_)
+        {
+            d->versions_.on_registry_confirmed(now_ - max_publication_time);
+        }
+    }
 }
 
 bool simulated_versions::send(stream_ptr const& s, bool counts)
@@ -374,7 +425,7 @@
     }
     if (s->version_ != 0)
     {
-        auto const found = version_of(d, s->target_, c);
+        auto const found = version_of(s->daemon_, s->target_, c);
         if (found.known_from_ && now_ < s->settle_by_)
         {
             after(std::min(*found.known_from_ - now_, recheck_interval),
@@ -403,7 +454,8 @@
     {
         return;
     }
-    auto const found = version_of(d, s->first_target_, s->first_connection_);
+    auto const found =
+        version_of(s->daemon_, s->first_target_, s->first_connection_);
     if (found.known_from_)
     {
         after(std::min(*found.known_from_ - now_, recheck_interval),
--- a/tests/routing/simulated_versions.hpp
+++ b/tests/routing/simulated_versions.hpp
@@ -2,6 +2,7 @@
 
 #include "src/base/random.hpp"
 #include "src/routing/dispatcher.hpp"
+#include "src/routing/entry_readings.hpp"
 #include "src/routing/stream_origins.hpp"
 #include "src/routing/target_versions.hpp"
 
@@ -88,6 +89,7 @@
         std::map<base::target_id, target_info> view_;
         std::map<base::target_id, connection> connections_;
         target_versions versions_;
+        entry_readings readings_;
         bool is_alive_ = true;
         bool reaches_store_ = true;
         bool hears_others_ = true;
@@ -143,8 +145,11 @@
     /// Sends the stream's request to a target. False if none takes it.
     bool send(stream_ptr const& s, bool counts = false);
     bool connect(daemon& d, base::target_id const& id, connection& out);
-    version_finding version_of(daemon const& d, target_info const& entry,
-                               connection const& c) const;
+    version_finding version_of(std::size_t d, target_info const& entry,
+                               connection const& c);
+    /// Reads the entry of one target, if the store answers.
+    void read_entry(std::size_t d, base::target_id const& id);
+    void confirm_registry();
     /// Waits until the version behind the connection is known and the right
     /// one, and begins to run there; tries another target otherwise.
     void run_at(stream_ptr const& s, connection const& c, bool counts);
--- a/tests/routing/versioned_fleet_test.cpp
+++ b/tests/routing/versioned_fleet_test.cpp
@@ -71,7 +71,7 @@
 
 TEST_GROUP(silent_registry){};
 
-// Not kept: a target may restart under its id before the silence is noticed.
+// A target may restart under its id before the silence is noticed.
 TEST(silent_registry, mixes_no_versions_before_it_is_noticed)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed)
