Metrics tell what became of streams that were taken up

An operator could not see whether origins of streams are kept in the store, nor how many streams were refused for an unknown version. Measured: nothing but that it builds.

--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -135,6 +135,7 @@
     auto const known = origins_.find(digest);
     if (known || attempt.empty())
     {
+        count(known);
         done(known);
         return;
     }
@@ -186,6 +187,7 @@
     auto const now = net::now();
     for (auto& batch : archive_.take_due(now))
     {
+        counts_.archived_ += batch.origins_.size();
         archive_callbacks_.write_(std::move(batch));
     }
     if (now >= read_archive_at_)
@@ -211,10 +213,19 @@
     pending_.erase(begin, end);
     for (auto const& done : waiting)
     {
+        count(version);
         done(version);
     }
 }
 
+void stream_origin_exchange::count(
+    std::optional<routing::version_digest> version)
+{
+    auto const is_known =
+        version.value_or(routing::unknown_version) != routing::unknown_version;
+    ++(is_known ? counts_.found_ : counts_.unknown_);
+}
+
 void stream_origin_exchange::advance()
 {
     resolve_due();
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -35,6 +35,15 @@
         std::function<void()> read_;
     };
 
+    /// What became of the streams that callers took up at this daemon, and how
+    /// many origins it handed to the store.
+    struct origin_counts
+    {
+        std::uint64_t found_ = 0;
+        std::uint64_t unknown_ = 0;
+        std::uint64_t archived_ = 0;
+    };
+
     /// `peers` must outlive the exchange.
     stream_origin_exchange(net::asio::io_context& loop, peer_exchange& peers,
                            version_finder version_of, version_prover prove);
@@ -67,6 +76,7 @@
     void find(std::string const& attempt, found_callback done);
     void on_message(routing::peer_ip from,
                     routing::stream_message const& message);
+    origin_counts const& counts() const { return counts_; }
 
 private:
     /// A stream that began at a version which is not known yet.
@@ -90,6 +100,7 @@
     void answer(routing::attempt_digest attempt,
                 std::optional<routing::version_digest> version);
     void answer_from(routing::stream_message const& message);
+    void count(std::optional<routing::version_digest> version);
     void advance_archive();
 
     peer_exchange& peers_;
@@ -103,6 +114,7 @@
     /// When the store is asked for origins that no daemon has told.
     base::time_point read_archive_at_ = base::time_point::max();
     std::vector<unresolved_origin> unresolved_;
+    origin_counts counts_;
     std::multimap<routing::attempt_digest, found_callback> pending_;
     net::deadline_timer timer_;
 };
--- a/src/routing/entry_readings.cpp
+++ b/src/routing/entry_readings.cpp
@@ -9,15 +9,14 @@
     std::erase_if(sent_, [now](auto const& reading)
                   { return now - reading.second >= timeout; });
     auto const [last, is_new] = sent_.emplace(target, now);
-    if (is_new)
-    {
-        return true;
-    }
-    if (last->second >= connected_at || now - last->second < min_interval)
+    auto const is_covered =
+        last->second >= connected_at || now - last->second < min_interval;
+    if (!is_new && is_covered)
     {
         return false;
     }
     last->second = now;
+    ++count_;
     return true;
 }
 
--- a/src/routing/entry_readings.hpp
+++ b/src/routing/entry_readings.hpp
@@ -3,6 +3,7 @@
 #include "src/base/ids.hpp"
 #include "src/base/units.hpp"
 
+#include <cstdint>
 #include <map>
 
 namespace tanagerlead::routing
@@ -25,10 +26,13 @@
     /// `connected_at`. To be asked again until the process is known.
     bool start(base::target_id const& target, base::time_point connected_at,
                base::time_point now);
+    /// Readings that were started.
+    std::uint64_t count() const { return count_; }
 
 private:
     /// When the last reading of each entry was sent.
     std::map<base::target_id, base::time_point> sent_;
+    std::uint64_t count_ = 0;
 };
 
 } // namespace tanagerlead::routing
