A blamed part of prompts is tried by whichever daemon gets it

Cause: only one daemon, chosen by rendezvous hashing, could try a part in quarantine. Trials were known to their daemon alone, and forgotten when it started again.

Change: the right to a trial extends to twice as many daemons for each 2 s without one. A trial is evidence, sent at once as a crash of the target 0 that does not weigh against the part, so that all daemons count the same trials. No new section of the reports. Of several suspects, the one with most crashes that are 15 ms or more apart is blamed, 250 ms before.

Two tests are new: every daemon may try a part that no other tries, and trials are counted by daemons that start again.

part_quarantine (19 cases), crashing_fleet (7) and crashing_part (4) pass.

--- a/src/entry/crash_monitor.cpp
+++ b/src/entry/crash_monitor.cpp
@@ -116,6 +116,7 @@
     }
     crashes_.parts().on_trial(request.pool_digest_,
                               request.metadata_.shared_parts_, now);
+    on_.news_();
     return send_permission::trial;
 }
 
--- a/src/routing/part_quarantine.cpp
+++ b/src/routing/part_quarantine.cpp
@@ -122,7 +122,6 @@
     if (c.at_ > r.last_crash() + quarantine_duration)
     {
         known.clear();
-        r.trials_ = 0;
     }
     auto const same = std::find_if(known.begin(), known.end(),
                                    [&](crash const& k) {
@@ -228,12 +227,13 @@
     out.place_ = r.place_;
     out.is_new_ = true;
     auto counted_at = base::time_point::min();
+    auto last_at = base::time_point::min();
     std::vector<std::uint32_t> requests;
     for (auto const& c : r.crashes_)
     {
         auto const proved = proved_at(part, c.pool_);
         out.is_new_ = out.is_new_ && proved == base::time_point::min();
-        if (c.at_ <= proved || explained.contains(c.target_))
+        if (c.is_trial() || c.at_ <= proved || explained.contains(c.target_))
         {
             continue;
         }
@@ -243,6 +243,11 @@
             ++out.crashes_;
             counted_at = c.at_;
         }
+        if (out.failures_ == 0 || c.at_ - last_at >= same_failure_distance)
+        {
+            ++out.failures_;
+        }
+        last_at = c.at_;
     }
     std::sort(requests.begin(), requests.end());
     requests.erase(std::unique(requests.begin(), requests.end()),
@@ -280,7 +285,7 @@
         quarantined_.insert(worst->part_);
         for (auto const& c : records_.at(worst->part_).crashes_)
         {
-            if (is_open(worst->part_, c))
+            if (is_open(worst->part_, c) && !c.is_trial())
             {
                 explained_.insert(c.target_);
             }
@@ -314,20 +319,39 @@
                        { return does_block(part, pool, now); });
 }
 
+std::size_t part_quarantine::open_trials(prompt_part part,
+                                         record const& r) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        r.crashes_.begin(), r.crashes_.end(),
+        [&](crash const& c) { return c.is_trial() && is_open(part, c); }));
+}
+
 bool part_quarantine::is_trial_due(prompt_part part, base::time_point now) const
 {
     auto const& r = records_.at(part);
-    if (r.trials_ >= trial_delays.size() ||
-        now < std::max(r.last_crash(), r.last_trial_) +
-                  trial_delays.at(r.trials_))
+    auto const trials = open_trials(part, r);
+    if (trials >= trial_delays.size())
     {
         return false;
     }
-    auto const chosen =
-        std::max_element(daemons_.begin(), daemons_.end(),
-                         [&](peer_ip a, peer_ip b)
-                         { return weight_of(part, a) < weight_of(part, b); });
-    return chosen != daemons_.end() && *chosen == self_;
+    auto const due = r.last_crash() + trial_delays.at(trials);
+    if (now < due)
+    {
+        return false;
+    }
+    auto const own = weight_of(part, self_);
+    std::int64_t before = 0;
+    auto is_listed = false;
+    for (auto const each : daemons_)
+    {
+        is_listed = is_listed || each == self_;
+        before += weight_of(part, each) > own ? 1 : 0;
+    }
+    // Twice as many daemons after each interval.
+    auto const doublings =
+        std::min<std::int64_t>((now - due) / trial_takeover_time, 32);
+    return is_listed && before < std::int64_t{1} << doublings;
 }
 
 bool part_quarantine::may_try(id_digest pool, prompt_parts const& parts,
@@ -347,9 +371,11 @@
     {
         if (does_block(part, pool, now))
         {
-            auto& r = records_.at(part);
-            ++r.trials_;
-            r.last_trial_ = now;
+            auto const request = static_cast<std::uint32_t>(rendezvous_rank(
+                self_,
+                static_cast<std::uint64_t>(now.time_since_epoch().count())));
+            add(part, records_.at(part).place_,
+                {trial_target, pool, request, now, true});
         }
     }
 }
--- a/src/routing/part_quarantine.hpp
+++ b/src/routing/part_quarantine.hpp
@@ -28,9 +28,11 @@
 /// with are not blamed for them.
 ///
 /// A part may be blamed wrongly, if no request with it ran to its end between
-/// failures of targets for other reasons. So one daemon, chosen by rendezvous
-/// hashing, lets one request with it through after each of the `trial_delays`.
-/// The quarantine ends if that request runs well.
+/// failures of targets for other reasons. So one request with it is let through
+/// after each of the `trial_delays`, by a daemon chosen by rendezvous hashing;
+/// while no request with the part comes to it, the right to the trial extends
+/// to more and more daemons. Trials are part of the evidence. The quarantine
+/// ends if the request runs well.
 ///
 /// The verdict depends on the evidence alone and not on the order in which it
 /// arrives, so daemons that have heard the same agree. Evidence may arrive late
@@ -43,12 +45,21 @@
     static constexpr std::size_t requests_for_quarantine = 3;
     static constexpr base::duration min_crash_distance =
         std::chrono::milliseconds{250};
+    /// Of two suspects with enough crashes, the one with more of them is
+    /// blamed. For this, only crashes closer than this count as one, as crashes
+    /// under a bad part follow each other faster than `min_crash_distance`.
+    static constexpr base::duration same_failure_distance =
+        std::chrono::milliseconds{15};
     /// A quarantine lasts for this long after the last crash.
     static constexpr base::duration quarantine_duration =
         std::chrono::minutes{10};
     /// Time from a crash to the first trial, and from a trial to the next one.
     static constexpr std::array<base::duration, 2> trial_delays{
         std::chrono::seconds{5}, std::chrono::seconds{60}};
+    /// For each such interval after a trial was due without one, twice as many
+    /// daemons may try the part.
+    static constexpr base::duration trial_takeover_time =
+        std::chrono::seconds{2};
     /// New evidence is repeated in reports for at least this long.
     static constexpr base::duration news_time = std::chrono::seconds{3};
     static constexpr std::size_t max_parts = 1024;
@@ -101,6 +112,9 @@
 
 private:
     static constexpr std::size_t max_crashes = 128;
+    /// A trial is kept and reported as a crash of this target. It says nothing
+    /// against the part.
+    static constexpr id_digest trial_target{0};
     static constexpr std::size_t max_proofs = 4;
 
     struct crash
@@ -110,6 +124,8 @@
         std::uint32_t request_ = 0;
         base::time_point at_;
         bool is_own_ = false;
+
+        bool is_trial() const { return target_ == trial_target; }
     };
 
     struct proof
@@ -125,8 +141,6 @@
         std::uint8_t place_ = 0;
         /// When another daemon last named it a suspect.
         base::time_point reported_at_{};
-        std::size_t trials_ = 0;
-        base::time_point last_trial_ = base::time_point::min();
 
         base::time_point last_crash() const;
     };
@@ -138,6 +152,7 @@
     struct weight
     {
         bool is_new_ = false;
+        int failures_ = 0;
         int crashes_ = 0;
         std::uint8_t place_ = 0;
         std::size_t requests_ = 0;
@@ -164,6 +179,8 @@
     }
     bool does_block(prompt_part part, id_digest pool,
                     base::time_point now) const;
+    /// Trials by any daemon that have not run well.
+    std::size_t open_trials(prompt_part part, record const& r) const;
     /// This daemon may let a request with the part through.
     bool is_trial_due(prompt_part part, base::time_point now) const;
     weight weigh(entry const& suspect,
--- a/tests/routing/crashing_fleet_test.cpp
+++ b/tests/routing/crashing_fleet_test.cpp
@@ -52,6 +52,28 @@
     }
 }
 
+// The sound part that shares the first crashes is rare: the daemon that is to
+// try it first gets no request with it.
+TEST(crashing_fleet, clears_a_rare_part_that_was_blamed_at_the_start)
+{
+    for (std::uint64_t seed : {201U, 586U, 644U, 687U})
+    {
+        check_fleet({.daemons_ = 7, .targets_ = 12, .stable_window_ = 3s}, 25s,
+                    seed);
+    }
+}
+
+// Sound parts share so many crashes with the bad one, within a second or two,
+// that they seem to explain them.
+TEST(crashing_fleet, keeps_a_bad_part_in_quarantine_beside_other_suspects)
+{
+    for (std::uint64_t seed : {695U, 704U, 729U, 744U})
+    {
+        check_fleet({.daemons_ = 7, .targets_ = 12, .stable_window_ = 3s}, 25s,
+                    seed);
+    }
+}
+
 TEST(crashing_fleet, finds_several_bad_parts)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed)
--- a/tests/routing/part_quarantine_test.cpp
+++ b/tests/routing/part_quarantine_test.cpp
@@ -39,17 +39,76 @@
     }
 
     /// Passes all evidence to another daemon.
+    static void pass_evidence(part_quarantine const& from, part_quarantine& to,
+                              base::duration when)
+    {
+        for (auto const& c :
+             from.reported_crashes(at(when), part_quarantine::news_time, true))
+        {
+            to.on_reported(c, at(when));
+        }
+        for (auto const& p : from.reported_proofs(at(when)))
+        {
+            to.on_reported(p, at(when));
+        }
+    }
+
     void report_to(part_quarantine & other, base::duration when)
     {
-        for (auto const& c : parts_.reported_crashes(
-                 at(when), part_quarantine::news_time, true))
+        pass_evidence(parts_, other, when);
+    }
+
+    std::vector<peer_ip> const fleet_{peer_ip{1}, peer_ip{2}, peer_ip{3}};
+    std::vector<part_quarantine> daemons_;
+
+    /// All daemons know at 2 s of three crashes under the bad part.
+    void begin_quarantine()
+    {
+        part_quarantine first;
+        for (std::uint32_t i = 0; i < 3; ++i)
         {
-            other.on_reported(c, at(when));
+            first.on_crash(id_digest{next_target_++}, engines, next_request_++,
+                           {greeting, bad}, at(i * 1s));
         }
-        for (auto const& p : parts_.reported_proofs(at(when)))
+        for (auto const ip : fleet_)
         {
-            other.on_reported(p, at(when));
+            daemons_.emplace_back(ip);
+            daemons_.back().set_fleet(fleet_);
+            pass_evidence(first, daemons_.back(), 2s);
+        }
+    }
+
+    /// When trials are sent, if a request with the bad part comes each second
+    /// to the daemon `only`, or to all if there is no such daemon. Trials do
+    /// not end. Daemons hear each other.
+    std::vector<base::time_point> trials_until(base::duration end,
+                                               std::size_t only)
+    {
+        std::vector<base::time_point> out;
+        prompt_parts const parts{greeting, bad};
+        for (auto when = base::duration{2s}; when < end; when += 1s)
+        {
+            for (std::size_t i = 0; i < daemons_.size(); ++i)
+            {
+                auto& each = daemons_[i];
+                CHECK(each.is_blocked(engines, parts, at(when)));
+                auto const is_asked = only >= daemons_.size() || only == i;
+                if (!is_asked || !each.may_try(engines, parts, at(when)))
+                {
+                    continue;
+                }
+                each.on_trial(engines, parts, at(when));
+                out.push_back(at(when));
+            }
+            for (auto const& from : daemons_)
+            {
+                for (auto& to : daemons_)
+                {
+                    pass_evidence(from, to, when);
+                }
+            }
         }
+        return out;
     }
 };
 
@@ -168,35 +227,37 @@
 
 TEST(part_quarantine, one_daemon_tries_a_quarantined_part_now_and_then)
 {
-    std::vector<peer_ip> const fleet{peer_ip{1}, peer_ip{2}, peer_ip{3}};
-    std::vector<part_quarantine> daemons;
-    for (auto const ip : fleet)
-    {
-        daemons.emplace_back(ip);
-    }
-    for (auto when : {0s, 1s, 2s})
-    {
-        crash({greeting, bad}, when);
-    }
-    for (auto& each : daemons)
+    begin_quarantine();
+    CHECK(trials_until(8min, daemons_.size()) ==
+          (std::vector{at(7s), at(67s)}));
+}
+
+// Requests with a rare part may never come to the daemon that is chosen first.
+TEST(part_quarantine, every_daemon_may_try_a_part_that_no_other_tries)
+{
+    for (std::size_t only = 0; only < fleet_.size(); ++only)
     {
-        each.set_fleet(fleet);
-        report_to(each, 2s);
+        daemons_.clear();
+        begin_quarantine();
+        auto const trials = trials_until(8min, only);
+        LONGS_EQUAL(2, trials.size());
+        CHECK(trials[0] <= at(7s + 2 * part_quarantine::trial_takeover_time));
     }
-    std::vector<base::time_point> trials;
-    for (auto now = at(2s); now < at(8min); now += 1s)
+}
+
+// Trials are counted by all, also if the daemon that made them starts again.
+TEST(part_quarantine, counts_trials_of_daemons_that_start_again)
+{
+    begin_quarantine();
+    LONGS_EQUAL(1, trials_until(60s, daemons_.size()).size());
+    for (auto const& from : daemons_)
     {
-        for (auto& each : daemons)
-        {
-            CHECK(each.is_blocked(engines, {greeting, bad}, now));
-            if (each.may_try(engines, {greeting, bad}, now))
-            {
-                each.on_trial(engines, {greeting, bad}, now);
-                trials.push_back(now);
-            }
-        }
+        part_quarantine restarted{peer_ip{1}};
+        restarted.set_fleet({peer_ip{1}});
+        pass_evidence(from, restarted, 60s);
+        CHECK(!restarted.may_try(engines, {greeting, bad}, at(66s)));
+        CHECK(restarted.may_try(engines, {greeting, bad}, at(67s)));
     }
-    CHECK(trials == (std::vector{at(7s), at(67s)}));
 }
 
 TEST(part_quarantine, ends_a_quarantine_after_ten_minutes_without_a_crash)
