Daemons can agree on targets that are out

Cause: a target that refuses connections looks empty and attracts requests, and each daemon finds that out by itself.

Change: section 9 of the reports tells which targets a daemon failed to connect to and which it reached. Two witnesses take a target out; one daemon at a time probes it without a request; the first success brings it back everywhere. Nothing feeds it yet outside the tests.

--- a/src/entry/report_codec.cpp
+++ b/src/entry/report_codec.cpp
@@ -72,7 +72,11 @@
     bool (peer_report::*is_needed_)() const;
 };
 
-constexpr std::array<optional_section, 0> optional_sections{};
+constexpr std::array optional_sections{
+    optional_section{{9, &peer_report::serialize_observations<output>,
+                      &peer_report::serialize_observations<input>},
+                     &peer_report::has_observations},
+};
 
 report_section const* find_section(std::uint16_t number)
 {
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -58,7 +58,8 @@
 
 dispatcher::dispatcher(settings s, peer_table const& peers)
     : settings_{std::move(s)}, peers_{peers}, random_{settings_.seed_},
-      limits_{settings_.self_}, brittle_{settings_.self_}
+      outages_{settings_.self_}, limits_{settings_.self_}, brittle_{
+                                                               settings_.self_}
 {
 }
 
@@ -150,9 +151,11 @@
         record.incarnation_ = digest_of(info);
         record.version_ = digest_of(info.pool_, info.version_);
         apply_announcements(record);
+        record.is_out_ = outages_.is_out(record.incarnation_);
         next.emplace(info.id_, std::move(record));
     }
     targets_ = std::move(next);
+    outages_.set_targets(targets);
     for (auto const& [request, run] : in_flight_)
     {
         auto const there = targets_.find(run.target_);
@@ -208,6 +211,36 @@
     }
 }
 
+outage_update dispatcher::advance_outages(base::time_point now)
+{
+    outage_update out;
+    auto const changed = outages_.advance(now);
+    auto const due = outages_.due_probes(now);
+    if (!changed && due.empty())
+    {
+        return out;
+    }
+    for (auto& [id, t] : targets_)
+    {
+        auto const is_out = outages_.is_out(t.incarnation_);
+        if (is_out != t.is_out_)
+        {
+            (is_out ? out.went_out_ : out.came_back_).push_back(t.info_);
+            t.is_out_ = is_out;
+            // The backoff of this daemon ends with the outage.
+            if (!is_out)
+            {
+                t.health_.on_progress(now);
+            }
+        }
+        if (std::find(due.begin(), due.end(), t.incarnation_) != due.end())
+        {
+            out.probes_.push_back(t.info_);
+        }
+    }
+    return out;
+}
+
 bool dispatcher::on_pause(target_info const& target, base::duration pause,
                           base::time_point now)
 {
@@ -697,6 +730,7 @@
 {
     out.leaving_targets_ =
         announcements_.reported(now, peer_report::max_leaving, first);
+    outages_.add_to(out, now, first);
     out.limits_ = limits_.reported(now, first, peer_report::max_limits);
     out.brittle_targets_ =
         brittle_.reported(now, first, peer_report::max_limits);
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "src/routing/route.hpp"
 #include "src/routing/target_announcements.hpp"
+#include "src/routing/target_outages.hpp"
 #include "src/routing/target_selector.hpp"
 #include "src/sched/expiry_queue.hpp"
 #include "src/sched/fair_queue.hpp"
@@ -17,6 +18,15 @@
 namespace tanagerlead::routing
 {
 
+/// What changed about the outages of targets.
+struct outage_update
+{
+    std::vector<target_info> went_out_;
+    std::vector<target_info> came_back_;
+    /// To be connected to now, without a request.
+    std::vector<target_info> probes_;
+};
+
 /// Schedules the requests of one daemon and chooses their targets. It is built
 /// for more work than the fleet can do, on targets of different speeds that run
 /// requests in order of arrival and know no tiers. Each target gets at most as
@@ -98,8 +108,14 @@
     {
         limits_.set_fleet(daemons, now);
         brittle_.set_fleet(daemons, now);
+        outages_.set_fleet(daemons);
     }
     target_limits const& limits() const { return limits_; }
+    /// Takes what this and other daemons saw of targets; `advance_outages` puts
+    /// it in force.
+    target_outages& outages() { return outages_; }
+    target_outages const& outages() const { return outages_; }
+    outage_update advance_outages(base::time_point now);
     /// A daemon with a slot of the pool's targets, if all that take work are
     /// brittle and none of their slots is this daemon's.
     std::optional<peer_ip> find_slot_owner(base::pool_id const& id) const;
@@ -221,6 +237,7 @@
     base::random_source random_;
     std::map<base::target_id, dispatch_target> targets_;
     target_announcements announcements_;
+    target_outages outages_;
     target_limits limits_;
     /// The slots of targets that must not be overfilled.
     target_limits brittle_;
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -72,6 +72,19 @@
     }
 };
 
+/// A connect of the sender to a target.
+struct target_observation
+{
+    incarnation_digest target_{};
+    std::uint16_t age_ms_ = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(target_, age_ms_);
+    }
+};
+
 enum class daemon_state : std::uint8_t
 {
     /// It does not know the configuration yet.
@@ -107,6 +120,7 @@
     static constexpr std::size_t max_part_crashes = 24;
     static constexpr std::size_t max_part_proofs = 16;
     static constexpr std::size_t max_unreachable_pools = 16;
+    static constexpr std::size_t max_observations = 32;
 
     /// Random number for each start of the sender.
     std::uint64_t incarnation_ = 0;
@@ -140,6 +154,10 @@
     bool is_cut_off_ = false;
     /// Targets that must not be overfilled, with their slots as the limit.
     std::vector<limit_statement> brittle_targets_;
+    /// Targets that the sender failed to connect to, and those that it reached
+    /// although others may have failed; see target_outages.
+    std::vector<target_observation> failed_targets_;
+    std::vector<target_observation> reached_targets_;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -206,6 +224,20 @@
     {
         base::serialize_start_of_list(archive, brittle_targets_, max_limits);
     }
+
+    bool has_observations() const
+    {
+        return !failed_targets_.empty() || !reached_targets_.empty();
+    }
+
+    template <class Archive>
+    void serialize_observations(Archive& archive)
+    {
+        base::serialize_start_of_list(archive, failed_targets_,
+                                      max_observations);
+        base::serialize_start_of_list(archive, reached_targets_,
+                                      max_observations);
+    }
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -66,7 +66,7 @@
     double sum = 0;
     for (auto const* t : targets_)
     {
-        if (!t->takes_work() || t->is_paused(now))
+        if (!t->takes_work() || t->is_out_ || t->is_paused(now))
         {
             continue;
         }
@@ -154,7 +154,7 @@
 int target_selector::free_slots(dispatch_target const& t, int peer_requests,
                                 int extra, base::time_point now) const
 {
-    if (!t.takes_work() || t.is_paused(now))
+    if (!t.takes_work() || t.is_out_ || t.is_paused(now))
     {
         return 0;
     }
@@ -230,7 +230,8 @@
     {
         auto const weight = base::random_source{
             affinity ^ static_cast<std::uint64_t>(t->digest_)}();
-        if (affinity != 0 && t->takes_work() && weight >= highest)
+        if (affinity != 0 && t->takes_work() && !t->is_out_ &&
+            weight >= highest)
         {
             highest = weight;
             preferred = t;
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -28,6 +28,8 @@
     /// It announced in an answer that it is shutting down, whatever its
     /// registry entry says.
     bool announced_leaving_ = false;
+    /// No daemon can connect to it; see target_outages.
+    bool is_out_ = false;
     /// It asked this daemon for a pause until this time.
     base::time_point paused_until_ = base::time_point::min();
     service_time_estimate service_time_;
--- a/tests/entry/report_codec_test.cpp
+++ b/tests/entry/report_codec_test.cpp
@@ -81,6 +81,22 @@
               .has_value());
 }
 
+TEST(report_codec, carries_observations_of_targets)
+{
+    auto report = example();
+    CHECK(!report.has_observations());
+    report.failed_targets_.push_back({routing::incarnation_digest{5}, 20});
+    report.reached_targets_.push_back({routing::incarnation_digest{6}, 30});
+    auto const bytes = write_report(report);
+    auto const got = read_report(bytes);
+    LONGS_EQUAL(1, got->failed_targets_.size());
+    CHECK(got->failed_targets_[0].target_ == routing::incarnation_digest{5});
+    LONGS_EQUAL(20, got->failed_targets_[0].age_ms_);
+    LONGS_EQUAL(30, got->reached_targets_.at(0).age_ms_);
+    CHECK(old_build::write_report(*old_build::read_report(bytes)) ==
+          old_report());
+}
+
 TEST(report_codec, passes_over_unknown_sections)
 {
     auto const got = read_report(old_report() +
