Daemons tell each other which targets refuse connections

Cause: while targets refuse connections, each daemon sends them requests until its own connects have failed.

A daemon that loses a pool withdraws what it said.

--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -53,9 +53,22 @@
                                       peers_.board(),
                                       log_,
                                       {[this](base::pool_id const& pool)
+                                       { on_reach_changed(pool); },
+                                       [this](routing::target_info const& t,
+                                              bool connected)
                                        {
-                                           on_reach_changed(pool);
+                                           outages_.on_connect(t, connected);
                                        }}},
+      outages_{loop,
+               s.shares_target_outages_,
+               dispatcher_,
+               links_,
+               log_,
+               {[this] { peers_.schedule_reports(); },
+                [this]
+                {
+                    schedule_advance();
+                }}},
       crashes_{parse_peer_ip(s.callers_.ip_).value_or(routing::peer_ip{}),
                dispatcher_,
                links_.targets(),
@@ -777,6 +790,7 @@
         }
     }
     crashes_.on_report(report, now);
+    outages_.on_report(from, report);
     for (auto const target : report.leaving_targets_)
     {
         dispatcher_.on_leaving_reported(target, now);
@@ -846,6 +860,7 @@
          static_cast<double>(dispatcher_.announcements().pause_count())},
         {"quarantined_prompt_parts",
          static_cast<double>(crashes_.quarantined_parts(now))},
+        {"targets_out", static_cast<double>(dispatcher_.outages().out_count())},
         {"target_limits", static_cast<double>(dispatcher_.limits().count())},
         {"log_lines_left_out_total",
          static_cast<double>(log_.suppressed_count())},
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -4,6 +4,7 @@
 #include "src/entry/crash_monitor.hpp"
 #include "src/entry/daemon_directory.hpp"
 #include "src/entry/graceful_shutdown.hpp"
+#include "src/entry/outage_monitor.hpp"
 #include "src/entry/peer_exchange.hpp"
 #include "src/entry/request_metrics.hpp"
 #include "src/entry/stream_origin_exchange.hpp"
@@ -242,6 +243,7 @@
     routing::quota_limiter quotas_;
     std::map<base::pool_id, routing::pool_latency> latencies_;
     target_links links_;
+    outage_monitor outages_;
     crash_monitor crashes_;
     stream_origin_exchange origins_;
     daemon_directory daemon_directory_;
--- a/src/entry/data_plane_relay.cpp
+++ b/src/entry/data_plane_relay.cpp
@@ -63,6 +63,7 @@
     {
         return;
     }
+    outages_.on_pool_lost(pool);
     net::asio::post(loop_,
                     [this, pool]
                     {
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -165,6 +165,7 @@
         base::from_seconds(r.number("retry_window_seconds", 1, max_seconds));
     s.quota_slack_ = r.number("quota_slack", 0, 1e12);
     s.weighs_kept_prompts_ = r.flag_or_false("weigh_kept_prompts");
+    s.shares_target_outages_ = r.flag_or_false("share_target_outages");
     if (!r.problem().empty())
     {
         return fail(r.problem());
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -40,6 +40,8 @@
     double quota_slack_ = 0;
     /// Targets that still keep the beginning of a prompt are preferred.
     bool weighs_kept_prompts_ = false;
+    /// Daemons tell each other which targets they cannot connect to.
+    bool shares_target_outages_ = false;
 };
 
 /// Errors name the field.
--- a/src/entry/target_links.cpp
+++ b/src/entry/target_links.cpp
@@ -63,6 +63,7 @@
                    net::now());
         on_.reach_changed_(target.pool_);
     }
+    on_.connect_ended_(target, connected);
     auto const next = reach_.next_probe();
     if (next != base::time_point::max())
     {
--- a/src/entry/target_links.hpp
+++ b/src/entry/target_links.hpp
@@ -19,6 +19,9 @@
     {
         /// The pool can be reached again, or no longer.
         std::function<void(base::pool_id const&)> reach_changed_;
+        /// A connect to the target succeeded or failed.
+        std::function<void(routing::target_info const&, bool connected)>
+            connect_ended_;
     };
 
     /// `peers` and `log` must outlive the object.
