--- a/tests/entry/broken_answer_test.cpp
+++ b/tests/entry/broken_answer_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
+
 using namespace tanagerlead;
 using namespace tanagerlead::test;
 
@@ -77,24 +79,28 @@
 } // namespace
 
 /// An answer that broke off never reaches the caller as a whole one.
-TEST_GROUP(broken_answer)
+namespace
+{
+
+struct broken_answers : Utest
 {
     std::uint16_t port_ = free_port();
     entry_fixture entry_{"127.0.0.1", port_};
     int number_ = 0;
+    /// A target that is gone after its answer would count as unreachable.
+    std::vector<std::unique_ptr<scripted_target>> targets_;
 
     /// `reaching` sends the requests of `asked` to the target.
-    void check_all(entry_fixture & asked, entry_fixture & reaching)
+    void check_all(entry_fixture& asked, entry_fixture& reaching)
     {
         for (auto const& how : framings)
         {
             for (auto const size : body_sizes)
             {
-                scripted_target target{[&](std::string const& request)
-                                       {
-                                           return broken_answer(how, size,
-                                                                request);
-                                       }};
+                targets_.push_back(std::make_unique<scripted_target>(
+                    [how, size](std::string const& request)
+                    { return broken_answer(how, size, request); }));
+                auto const& target = *targets_.back();
                 auto infos = entry_fixture::entries_of({&target});
                 infos[0].id_ =
                     base::target_id{"t-" + std::to_string(++number_)};
@@ -117,6 +123,10 @@
     }
 };
 
+} // namespace
+
+TEST_GROUP_BASE(broken_answer, broken_answers){};
+
 TEST(broken_answer, of_a_target)
 {
     entry_.configure();
@@ -124,7 +134,9 @@
     entry_.set_registry({});
 }
 
-TEST(broken_answer, of_a_target_that_another_daemon_reaches)
+TEST_GROUP_BASE(relayed_broken_answer, broken_answers){};
+
+TEST(relayed_broken_answer, does_not_pass_as_whole)
 {
     entry_fixture other{"127.0.0.2", port_};
     entry_.configure();
