Versions that nobody asks for are not rechecked every 20 ms

Versions that are wanted are rechecked after 50 ms, the least time between two readings, the others when changes of the registry are confirmed, or each second.

--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -199,6 +199,7 @@
 void data_plane::on_registry_confirmed(base::time_point at)
 {
     target_versions_.on_registry_confirmed(at);
+    origins_.on_versions_proved();
 }
 
 void data_plane::prove_version(routing::target_info const& target,
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -1,5 +1,7 @@
 #include "src/entry/stream_origin_exchange.hpp"
 
+#include "src/routing/entry_readings.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -12,8 +14,11 @@
 /// More streams than a daemon begins within the time after which their versions
 /// are known.
 constexpr std::size_t max_unresolved = 4096;
-/// While the registry is lost, nobody knows when it will be read again.
-constexpr base::duration recheck_interval = std::chrono::milliseconds{200};
+/// A reading that would tell a version may be lost, or not be possible yet.
+constexpr base::duration recheck_interval =
+    routing::entry_readings::min_interval;
+/// Versions that nobody asks for come with changes of the registry.
+constexpr base::duration idle_recheck_interval = std::chrono::seconds{1};
 /// Another daemon that knows an origin answers sooner, also if one message is
 /// lost.
 constexpr base::duration archive_read_delay = std::chrono::milliseconds{120};
@@ -58,11 +63,12 @@
                                  routing::target_versions::removal_retention;
     if (may_be_known && unresolved_.size() < max_unresolved)
     {
-        if (is_wanted(origin))
+        auto const wanted = is_wanted(origin);
+        if (wanted)
         {
             prove_(origin.target_, origin.connected_at_);
         }
-        origin.due_ = std::min(*found.known_from_, now + recheck_interval);
+        origin.due_ = now + (wanted ? recheck_interval : idle_recheck_interval);
         unresolved_.push_back(std::move(origin));
         return;
     }
