--- a/tools/lib/lint_file.sh
+++ b/tools/lib/lint_file.sh
@@ -7,8 +7,11 @@
 file=$2
 cache=${TANAGERLEAD_LINT_CACHE:-${HOME:-/tmp}/.cache/tanagerlead-lint}
 
-flags=$(sed -n "s|^ *\"command\": \"[^ ]* \(.*\) -o [^ ]* -c $PWD/$file\",\$|\1|p" \
-    "$build_dir/compile_commands.json" | head -n 1)
+# A source of several programs is listed once for each; the first one counts.
+flags=$(sed -n "\\# -c $PWD/$file\",\$# {
+        s|^ *\"command\": \"[^ ]* \(.*\) -o [^ ]* -c .*\",\$|\1|p
+        q
+    }" "$build_dir/compile_commands.json")
 key=
 if [[ -n $flags ]]; then
     # Quotes of definitions are escaped in the file.
