damaged_input leaves the ports of the machine to other tests

Cause: each run of damaged_input leaves 6,434 closed connections that wait for a minute, and it bound their ports before connecting, so none of them could be used again. The second six of twelve runs of entry_test, six at a time, found no port: 4 and 5 of them failed (no answer of a target, 502, or 'bind: Address already in use'). Ruled out: the daemon; one run at a time passes.

Change: the port is chosen by the connect, which may use one again. No check changes.

Measured: 20 runs of damaged_input in 7 s, six at a time, with all 131,072 places for waiting connections taken at the end: 19 pass, one fails.

--- a/tests/entry/damaged_input_test.cpp
+++ b/tests/entry/damaged_input_test.cpp
@@ -41,8 +41,15 @@
 std::string send_to(base::address const& peer, std::string const& bytes,
                     std::string const& from, bool ends = true)
 {
+    // A port that is chosen by the connect can be reused soon, so that
+    // thousands of connections leave ports to other tests.
+    using late_port =
+        asio::detail::socket_option::boolean<IPPROTO_IP,
+                                             IP_BIND_ADDRESS_NO_PORT>;
     asio::io_context loop;
-    net::tcp::socket socket{loop, {ip_of(from), 0}};
+    net::tcp::socket socket{loop, net::tcp::v4()};
+    socket.set_option(late_port{true});
+    socket.bind({ip_of(from), 0});
     socket.connect({ip_of(peer.ip_), peer.port_});
     boost::system::error_code error;
     asio::write(socket, asio::buffer(bytes), error);
