damaged_input: the sound target says that it closes its connections

Cause: the sound target closed each connection after its answer without saying so. The daemon kept the connection, and if the next request was sent before the close arrived, it may have run: 502 for a request that must not run twice, as it has to be.

Change: its answers carry Connection: close; damaged answers are made from answers without it, as before. The check names the path.

--- a/tests/entry/damaged_input_test.cpp
+++ b/tests/entry/damaged_input_test.cpp
@@ -21,13 +21,21 @@
 /// Address of a daemon that the one under test knows.
 char const* const known_daemon = "127.0.0.2";
 
-std::vector<step> answer_and_close(std::string const& request)
+std::string whole_answer(std::string const& request)
 {
     auto const is_stream = request.starts_with("POST /stream/") ||
                            request.starts_with("POST /flow/");
-    auto const answer = is_stream ? stream_head(request) + event_chunk(1) +
-                                        event_chunk(2) + stream_end
-                                  : complete_answer(request, 200, "done");
+    return is_stream ? stream_head(request) + event_chunk(1) + event_chunk(2) +
+                           stream_end
+                     : complete_answer(request, 200, "done");
+}
+
+/// Says that it closes the connection. Otherwise the next request could be sent
+/// just before the connection closes, and one that must not run twice fails.
+std::vector<step> answer_and_close(std::string const& request)
+{
+    auto answer = whole_answer(request);
+    answer.insert(answer.find("\r\n") + 2, "Connection: close\r\n");
     return {{action::send, answer}, {action::close, ""}};
 }
 
@@ -122,7 +130,8 @@
                 entry_fixture::request(path, "sound " + std::to_string(next_++),
                                        "Connection: close\r\n"));
             auto const answer = caller.read_to_end();
-            CHECK_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+            auto const text = path + (": " + answer);
+            CHECK_TEXT(answer.starts_with("HTTP/1.1 200"), text.c_str());
         }
     }
 
@@ -187,7 +196,7 @@
     static std::string damaged_answer(damaged_bytes & damage,
                                       std::string const& request, int number)
     {
-        auto answer = answer_and_close(request).front().bytes_;
+        auto answer = whole_answer(request);
         answer.insert(answer.find("\r\n") + 2,
                       "Server-Limit: 50\r\nServer-Brittle: 9\r\n"
                       "Keep-Alive: timeout=15\r\nServer-Leaving: 0\r\n");
