Requests of the entry tests get their ids from one function

Cause: five tests replaced the id in the text of a request, each in its own way, and free_port did not try an address that relay_test uses.

Change: entry_fixture::with_id; no check changes.

--- a/tests/entry/broken_answer_test.cpp
+++ b/tests/entry/broken_answer_test.cpp
@@ -67,12 +67,11 @@
 
 std::string ask(entry_fixture& daemon, std::string const& path, int number)
 {
-    auto request = entry_fixture::request(path, std::to_string(number),
-                                          "Connection: close\r\n");
-    request.replace(request.find("Id: q1"), 6,
-                    "Id: r" + std::to_string(number));
     raw_caller caller{daemon.callers()};
-    caller.send(request);
+    caller.send(entry_fixture::with_id(
+        entry_fixture::request(path, std::to_string(number),
+                               "Connection: close\r\n"),
+        "r" + std::to_string(number)));
     return caller.read_to_end();
 }
 
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -44,7 +44,8 @@
     for (std::uint32_t tries = 0; tries < count; ++tries)
     {
         auto const port = static_cast<std::uint16_t>(first + next++ % count);
-        if (is_free("127.0.0.1", port) && is_free("127.0.0.2", port))
+        if (is_free("127.0.0.1", port) && is_free("127.0.0.2", port) &&
+            is_free("127.0.0.4", port))
         {
             return port;
         }
@@ -249,6 +250,14 @@
                "\r\n\r\n" + body;
     }
 
+    /// Gives a result of `request` an id of its own.
+    static std::string with_id(std::string request, std::string const& id)
+    {
+        static std::string const field = "Tanagerlead-Request-Id: ";
+        return request.replace(request.find(field + "q1") + field.size(), 2,
+                               id);
+    }
+
 private:
     /// The registry was read long enough ago to be relied on.
     static constexpr base::duration registry_age = std::chrono::seconds{60};
--- a/tests/entry/partial_reach_test.cpp
+++ b/tests/entry/partial_reach_test.cpp
@@ -90,12 +90,10 @@
 
     void check_answered(std::string const& path)
     {
-        auto request =
-            entry_fixture::request(path, "body", "Connection: close\r\n");
-        request.replace(request.find("Id: q1"), 6,
-                        "Id: r" + std::to_string(++last_request_));
         raw_caller caller{partial_.callers()};
-        caller.send(request);
+        caller.send(entry_fixture::with_id(
+            entry_fixture::request(path, "body", "Connection: close\r\n"),
+            "r" + std::to_string(++last_request_)));
         auto const answer = caller.read_to_end();
         CHECK_TEXT(answer.starts_with("HTTP/1.1 200"),
                    (path + " " + answer).c_str());
--- a/tests/entry/relay_test.cpp
+++ b/tests/entry/relay_test.cpp
@@ -38,12 +38,6 @@
     return out;
 }
 
-std::string numbered(std::string text, int number)
-{
-    return text.replace(text.find("Id: q1"), 6,
-                        "Id: r" + std::to_string(number));
-}
-
 } // namespace
 
 TEST_GROUP(relay)
@@ -94,9 +88,10 @@
     std::string ask(std::string const& path, std::string const& more = "")
     {
         raw_caller caller{cut_off_.callers()};
-        caller.send(numbered(entry_fixture::request(
-                                 path, "body", "Connection: close\r\n" + more),
-                             ++last_request_));
+        caller.send(entry_fixture::with_id(
+            entry_fixture::request(path, "body",
+                                   "Connection: close\r\n" + more),
+            "r" + std::to_string(++last_request_)));
         return caller.read_to_end();
     }
 
--- a/tests/entry/second_copy_test.cpp
+++ b/tests/entry/second_copy_test.cpp
@@ -84,11 +84,9 @@
     void check_own_answer(std::string const& path, std::string const& id,
                           copy_time when)
     {
-        auto request =
-            entry_fixture::request(path, "", "Connection: close\r\n");
-        request.replace(request.find("Id: q1"), 6, "Id: " + id);
         raw_caller caller{entry_.callers()};
-        caller.send(request);
+        caller.send(entry_fixture::with_id(
+            entry_fixture::request(path, "", "Connection: close\r\n"), id));
         auto const answer = caller.read_to_end();
         auto const text =
             path + std::to_string(static_cast<int>(when)) + answer;
--- a/tests/entry/stream_version_test.cpp
+++ b/tests/entry/stream_version_test.cpp
@@ -25,9 +25,9 @@
 
 std::string stream_request(std::string const& id, std::string const& more = "")
 {
-    auto text =
-        entry_fixture::request("/stream/", "", "Connection: close\r\n" + more);
-    return text.replace(text.find("Id: q1"), 6, "Id: " + id);
+    return entry_fixture::with_id(
+        entry_fixture::request("/stream/", "", "Connection: close\r\n" + more),
+        id);
 }
 
 std::string resumption_of(std::string const& attempt)
