Rejections at brittle targets are logged with what was known

Cause: no log or metric tells whether a target that turned a request away was known to be brittle, whether the same daemon had been turned away just before, or whether a slot had been freed early or was another daemon's.

Change: 'Target had no room.' while targets are brittle, with these facts; brittle_targets, brittle_target_rejections_total and other_target_rejections_total. No logic changes.

--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -497,6 +497,10 @@
 
 void data_plane::on_attempt_end(call& running, routing::attempt_outcome end)
 {
+    if (end == routing::attempt_outcome::rejected && !running.is_at_relay())
+    {
+        on_rejection(running);
+    }
     dispatcher_.on_attempt_end(running.context().id_, end, net::now());
     if (running.is_at_relay())
     {
@@ -513,6 +517,41 @@
     schedule_advance();
 }
 
+void data_plane::on_rejection(call const& rejected)
+{
+    auto const now = net::now();
+    auto const view = dispatcher_.view_rejection(rejected.target(), now);
+    if (!view)
+    {
+        return;
+    }
+    ++(view->is_brittle_ ? brittle_rejections_ : other_rejections_);
+    // Rejections of other targets are usual under load.
+    if (dispatcher_.brittle_count() == 0)
+    {
+        return;
+    }
+    log_line line{"Target had no room."};
+    line.with("target", rejected.target().str())
+        .with("brittle", static_cast<std::int64_t>(view->is_brittle_))
+        .with("own", view->own_requests_)
+        .with("slots", view->own_slots_)
+        .with("peers", view->peer_requests_)
+        .with("daemons",
+              static_cast<std::int64_t>(peers_.board().working().size() + 1));
+    auto const add = [&](char const* name, std::optional<base::duration> time)
+    {
+        if (time)
+        {
+            line.with_ms(name, *time);
+        }
+    };
+    add("known_ms", view->known_for_);
+    add("since_rejection_ms", view->since_rejection_);
+    add("since_early_end_ms", view->since_early_end_);
+    log_.write(log_category::target, line, now);
+}
+
 void data_plane::on_service_time(base::target_id const& target,
                                  base::duration took, double units)
 {
@@ -863,6 +902,11 @@
          static_cast<double>(crashes_.quarantined_parts(now))},
         {"targets_out", static_cast<double>(dispatcher_.outages().out_count())},
         {"target_limits", static_cast<double>(dispatcher_.limits().count())},
+        {"brittle_targets", static_cast<double>(dispatcher_.brittle_count())},
+        {"brittle_target_rejections_total",
+         static_cast<double>(brittle_rejections_)},
+        {"other_target_rejections_total",
+         static_cast<double>(other_rejections_)},
         {"stream_origins_found_total",
          static_cast<double>(origins_.counts().found_)},
         {"stream_origins_unknown_total",
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -199,6 +199,8 @@
                     request_metadata metadata,
                     std::optional<relay_terms> const& relay = std::nullopt);
     static void refuse_relayed(connection_ptr const& from);
+    /// Counts a rejection by a target and logs what was known of it.
+    void on_rejection(call const& rejected);
     /// Reads the target's entry if that tells which process is behind a
     /// connection.
     void prove_version(routing::target_info const& target,
@@ -276,6 +278,8 @@
     /// The last one that was passed to the control plane.
     routing::registry_change reported_registry_change_;
     int store_restorations_ = 0;
+    std::uint64_t brittle_rejections_ = 0;
+    std::uint64_t other_rejections_ = 0;
     /// The store has told which daemons there are.
     bool is_fleet_listed_ = false;
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -274,6 +274,38 @@
     return brittle_.on_answer(digest_of(target), slots, sent, now);
 }
 
+bool dispatcher::is_brittle(target_info const& target,
+                            base::time_point /*now*/) const
+{
+    return brittle_.find(digest_of(target)) != nullptr;
+}
+
+std::optional<rejection_view>
+dispatcher::view_rejection(base::target_id const& target,
+                           base::time_point now) const
+{
+    auto const known = targets_.find(target);
+    if (known == targets_.end())
+    {
+        return std::nullopt;
+    }
+    auto const& t = known->second;
+    auto const since = [now](std::optional<base::time_point> at)
+    {
+        return at ? std::optional{now - *at} : std::nullopt;
+    };
+    auto const* const part = brittle_.find(t.incarnation_);
+    rejection_view out;
+    out.is_brittle_ = part != nullptr;
+    out.own_requests_ = t.own_requests_;
+    out.peer_requests_ = peers_.in_flight_elsewhere(t.digest_);
+    out.own_slots_ = part != nullptr ? part->slots() : t.info_.slots_;
+    out.known_for_ = since(t.first_sent_at_);
+    out.since_rejection_ = since(t.rejected_at_);
+    out.since_early_end_ = since(t.ended_early_at_);
+    return out;
+}
+
 void dispatcher::on_limit_reported(limit_statement const& statement,
                                    base::time_point now)
 {
@@ -500,6 +532,7 @@
         lane_of(call).targets_.on_assigned(tokens);
     }
     limits_.on_sent(target.incarnation_, now);
+    target.first_sent_at_ = target.first_sent_at_.value_or(now);
     ++target.own_requests_;
     target.own_tokens_ += tokens;
     if (!call.prompt_.empty())
@@ -670,6 +703,15 @@
         --t.own_requests_;
         t.own_tokens_ -= run.tokens_;
         assert(t.own_requests_ >= 0);
+        if (end == attempt_outcome::rejected)
+        {
+            t.rejected_at_ = now;
+        }
+        else if (end == attempt_outcome::cancelled ||
+                 end == attempt_outcome::failed)
+        {
+            t.ended_early_at_ = now;
+        }
         if (end == attempt_outcome::not_connected)
         {
             limits_.on_not_sent(t.incarnation_, now);
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -27,6 +27,24 @@
     std::vector<target_info> probes_;
 };
 
+/// What this daemon knows of a target that rejects one of its requests. Times
+/// are absent if there was no such event.
+struct rejection_view
+{
+    bool is_brittle_ = false;
+    /// Requests at the target, the rejected one included, and the last reported
+    /// number of those of other daemons.
+    int own_requests_ = 0;
+    int peer_requests_ = 0;
+    /// This daemon's part of the slots; all of them if they are not divided.
+    int own_slots_ = 0;
+    /// Time since this daemon's first request to it, since its last rejection,
+    /// and since a request last ended before the target had answered it.
+    std::optional<base::duration> known_for_;
+    std::optional<base::duration> since_rejection_;
+    std::optional<base::duration> since_early_end_;
+};
+
 /// Schedules the requests of one daemon and chooses their targets. It is built
 /// for more work than the fleet can do, on targets of different speeds that run
 /// requests in order of arrival and know no tiers. Each target gets at most as
@@ -103,6 +121,12 @@
     {
         brittle_.on_reported(statement, now);
     }
+    /// Whether the slots of the target are divided among the daemons.
+    bool is_brittle(target_info const& target, base::time_point now) const;
+    std::size_t brittle_count() const { return brittle_.count(); }
+    /// Nothing for a target that is not registered.
+    std::optional<rejection_view> view_rejection(base::target_id const& target,
+                                                 base::time_point now) const;
     /// The daemons that share the limits of targets; see target_limits.
     void set_fleet(std::vector<peer_ip> const& daemons, base::time_point now)
     {
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -32,6 +32,11 @@
     bool is_out_ = false;
     /// It asked this daemon for a pause until this time.
     base::time_point paused_until_ = base::time_point::min();
+    /// This daemon's first request, and the last ones that it rejected and that
+    /// ended before it had answered them; nothing if there was none.
+    std::optional<base::time_point> first_sent_at_;
+    std::optional<base::time_point> rejected_at_;
+    std::optional<base::time_point> ended_early_at_;
     service_time_estimate service_time_;
     failure_rate failures_;
     prefix_memory prefixes_;
