A target that is back after a fall is known to be brittle

What callers saw: targets that kept falling over. Cause: what a target says about being brittle was kept for its incarnation. After a fall it is back as another one, and all daemons gave it its slots and one more each at once, by late reports, until the first answers came. It turned the rest away and fell again. The same for targets that are added, and for daemons that have just started.

Change: brittle_targets keeps what each pool last said, with the number of rejections; a target of the pool that has said nothing yet counts as brittle, until it answers a request without saying so. Reports carry the statements of pools (section 13) with their age, for as long as they are kept, so a daemon that has started learns them from its first report.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -370,7 +370,8 @@
     }
     if (!metadata.is_wrong_target_ && !is_at_relay_)
     {
-        delegate_.on_brittle(target_, metadata.is_brittle_, attempt_sent_at_);
+        delegate_.on_brittle(target_, metadata.max_rejections_,
+                             attempt_sent_at_);
     }
     drop_answer_body();
     answer_ = head;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -53,8 +53,9 @@
                           std::optional<routing::request_rate> limit,
                           base::time_point sent) = 0;
     /// A target answered a request that was sent at `sent`, and may have said
-    /// that it is brittle.
-    virtual void on_brittle(routing::target_info const& target, bool is_brittle,
+    /// how many rejections a second it stands.
+    virtual void on_brittle(routing::target_info const& target,
+                            std::optional<routing::request_rate> max_rejections,
                             base::time_point sent) = 0;
     /// The target has worked on this request for long enough to show that the
     /// request does not crash it.
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -634,19 +634,24 @@
     peers_.schedule_reports();
 }
 
-void data_plane::on_brittle(routing::target_info const& target, bool is_brittle,
+void data_plane::on_brittle(routing::target_info const& target,
+                            std::optional<routing::request_rate> max_rejections,
                             base::time_point sent)
 {
     auto const now = net::now();
-    if (!dispatcher_.on_brittle(target, is_brittle, sent, now))
+    if (!dispatcher_.on_brittle(target, max_rejections, sent, now))
     {
         return;
     }
-    log_.write(log_category::target,
-               log_line{is_brittle ? "Target is brittle."
-                                   : "Target is brittle no more."}
-                   .with("target", target.id_.str()),
-               now);
+    log_line line{max_rejections ? "Target is brittle."
+                                 : "Target is brittle no more."};
+    line.with("target", target.id_.str());
+    if (max_rejections)
+    {
+        line.with("rejections_per_second",
+                  std::to_string(max_rejections->per_second_));
+    }
+    log_.write(log_category::target, line, now);
     peers_.schedule_reports();
 }
 
@@ -839,10 +844,7 @@
     {
         dispatcher_.on_limit_reported(statement, now);
     }
-    for (auto const& statement : report.brittle_targets_)
-    {
-        dispatcher_.on_brittle_reported(statement, now);
-    }
+    dispatcher_.on_brittle_reported(report, now);
     for (auto const& change : report.registry_changes_)
     {
         on_reported_registry_change(change);
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -107,7 +107,8 @@
     void on_limit(routing::target_info const& target,
                   std::optional<routing::request_rate> limit,
                   base::time_point sent) override;
-    void on_brittle(routing::target_info const& target, bool is_brittle,
+    void on_brittle(routing::target_info const& target,
+                    std::optional<routing::request_rate> max_rejections,
                     base::time_point sent) override;
     void on_proof(call const& running) override { crashes_.on_proof(running); }
     bool is_quarantined(call const& waiting) const override
--- a/src/entry/protocol.hpp
+++ b/src/entry/protocol.hpp
@@ -81,8 +81,8 @@
     std::optional<routing::request_rate> limit_;
     /// It names a limit that cannot be read.
     bool is_limit_malformed_ = false;
-    /// The target falls over if it has to turn many requests away.
-    bool is_brittle_ = false;
+    /// The target falls over if it has to turn more requests away than these.
+    std::optional<routing::request_rate> max_rejections_;
 };
 
 /// A caller's request for the addresses of daemons.
--- a/src/entry/report_codec.cpp
+++ b/src/entry/report_codec.cpp
@@ -76,6 +76,9 @@
     optional_section{{9, &peer_report::serialize_observations<output>,
                       &peer_report::serialize_observations<input>},
                      &peer_report::has_observations},
+    optional_section{{13, &peer_report::serialize_brittle_pools<output>,
+                      &peer_report::serialize_brittle_pools<input>},
+                     &peer_report::has_brittle_pools},
 };
 
 report_section const* find_section(std::uint16_t number)
--- /dev/null
+++ b/src/routing/brittle_targets.cpp
@@ -0,0 +1,160 @@
+#include "src/routing/brittle_targets.hpp"
+
+#include "src/routing/report_turn.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tanagerlead::routing
+{
+
+namespace
+{
+
+constexpr double milli = 1000.0;
+/// Bounds of what a target may say, in rejections a second.
+constexpr double min_rejections = 0.1;
+constexpr double max_rejections_kept = 1e6;
+
+request_rate slots_of(int slots)
+{
+    return request_rate{static_cast<double>(slots)};
+}
+
+} // namespace
+
+void brittle_targets::set_fleet(std::vector<peer_ip> const& daemons,
+                                base::time_point now)
+{
+    slots_.set_fleet(daemons, now);
+}
+
+void brittle_targets::set_targets(std::vector<target_info> const& targets)
+{
+    targets_.clear();
+    for (auto const& t : targets)
+    {
+        targets_.emplace(digest_of(t),
+                         registered_target{digest_of(t.pool_.str()), t.slots_});
+    }
+    for (auto const& [pool, said] : pools_)
+    {
+        if (said.max_rejections_)
+        {
+            assume(pool, said.stated_at_);
+        }
+    }
+}
+
+bool brittle_targets::on_answer(target_info const& target,
+                                std::optional<request_rate> max_rejections,
+                                base::time_point sent, base::time_point now)
+{
+    auto const pool = digest_of(target.pool_.str());
+    if (max_rejections)
+    {
+        auto const is_new = slots_.on_answer(
+            digest_of(target), slots_of(target.slots_), sent, now);
+        return state_pool(pool, max_rejections, sent) || is_new;
+    }
+    auto const was_brittle =
+        slots_.on_answer(digest_of(target), std::nullopt, sent, now);
+    if (was_brittle)
+    {
+        state_pool(pool, std::nullopt, sent);
+    }
+    return was_brittle;
+}
+
+// Builds without section 13 of the reports name no pools and no number.
+void brittle_targets::on_reported(limit_statement const& statement,
+                                  base::time_point now)
+{
+    slots_.on_reported(statement, now);
+    auto const registered = targets_.find(statement.target_);
+    if (registered == targets_.end() || statement.milli_per_second_ == 0)
+    {
+        return;
+    }
+    auto const pool = registered->second.pool_;
+    if (!pools_.contains(pool))
+    {
+        state_pool(pool, default_max_rejections,
+                   now - std::chrono::milliseconds{statement.age_ms_});
+    }
+}
+
+void brittle_targets::on_pool_reported(pool_brittleness const& reported,
+                                       base::time_point now)
+{
+    std::optional<request_rate> max_rejections;
+    if (reported.milli_rejections_per_second_ > 0)
+    {
+        max_rejections =
+            request_rate{reported.milli_rejections_per_second_ / milli};
+    }
+    state_pool(reported.pool_, max_rejections,
+               now - std::chrono::milliseconds{reported.age_ms_});
+}
+
+bool brittle_targets::state_pool(id_digest pool,
+                                 std::optional<request_rate> max_rejections,
+                                 base::time_point stated)
+{
+    auto const [entry, is_new] =
+        pools_.try_emplace(pool, pool_statement{std::nullopt, stated});
+    auto& said = entry->second;
+    if (!is_new && stated < said.stated_at_)
+    {
+        return false;
+    }
+    auto const was_brittle = said.max_rejections_.has_value();
+    said.stated_at_ = stated;
+    said.max_rejections_ = max_rejections;
+    if (!max_rejections)
+    {
+        return was_brittle;
+    }
+    said.max_rejections_->per_second_ = std::clamp(
+        max_rejections->per_second_, min_rejections, max_rejections_kept);
+    if (!was_brittle)
+    {
+        assume(pool, stated);
+    }
+    return !was_brittle;
+}
+
+void brittle_targets::assume(id_digest pool, base::time_point stated)
+{
+    for (auto const& [digest, t] : targets_)
+    {
+        if (t.pool_ == pool)
+        {
+            slots_.assume(digest, slots_of(t.slots_), stated);
+        }
+    }
+}
+
+void brittle_targets::add_to(peer_report& out, base::time_point now,
+                             std::size_t first) const
+{
+    out.brittle_targets_ = slots_.reported(now, first, peer_report::max_limits);
+    std::vector<pool_brittleness> recent;
+    for (auto const& [pool, said] : pools_)
+    {
+        auto const age = now - said.stated_at_;
+        if (age <= target_limits::retention)
+        {
+            auto const rate =
+                said.max_rejections_ ? said.max_rejections_->per_second_ : 0;
+            recent.push_back(
+                {pool, static_cast<std::uint32_t>(std::ceil(milli * rate)),
+                 static_cast<std::uint32_t>(
+                     std::max(0.0, base::milliseconds(age)))});
+        }
+    }
+    out.brittle_pools_ =
+        take_turn(recent, first, peer_report::max_brittle_pools);
+}
+
+} // namespace tanagerlead::routing
--- /dev/null
+++ b/src/routing/brittle_targets.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "src/routing/pool_brittleness.hpp"
+#include "src/routing/target_limits.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace tanagerlead::routing
+{
+
+/// Targets that fall over if they have to turn many requests away. The slots of
+/// such a target are divided among the daemons; see target_limits. The targets
+/// of a pool become brittle together, so one that has said nothing yet, such as
+/// one that is back after a fall, counts as what its pool last was.
+class brittle_targets
+{
+public:
+    /// Rejections a second that a target stands if it names no number.
+    static constexpr request_rate default_max_rejections{1};
+
+    explicit brittle_targets(peer_ip self) : slots_{self} {}
+
+    void set_fleet(std::vector<peer_ip> const& daemons, base::time_point now);
+    void set_targets(std::vector<target_info> const& targets);
+
+    /// The target answered a request that was sent at `sent`, and said how many
+    /// rejections a second it stands, or that it is not brittle. True if that
+    /// was not known.
+    bool on_answer(target_info const& target,
+                   std::optional<request_rate> max_rejections,
+                   base::time_point sent, base::time_point now);
+    /// The same for one target, from the report of another daemon.
+    void on_reported(limit_statement const& statement, base::time_point now);
+    /// The same for a pool.
+    void on_pool_reported(pool_brittleness const& reported,
+                          base::time_point now);
+
+    /// This daemon's slots of the target; null if it is not brittle.
+    target_limit const* find(incarnation_digest target) const
+    {
+        return slots_.find(target);
+    }
+    /// A daemon that has slots of the target; nothing if the fleet is not
+    /// known.
+    std::optional<peer_ip> first_sharer(incarnation_digest target) const
+    {
+        return slots_.first_sharer(target);
+    }
+    /// No target has said that it is brittle.
+    bool empty() const { return slots_.empty(); }
+    std::size_t count() const { return slots_.count(); }
+
+    /// Adds what is known, from the `first` statement on if a report cannot
+    /// hold all of it.
+    void add_to(peer_report& out, base::time_point now,
+                std::size_t first) const;
+
+private:
+    struct pool_statement
+    {
+        /// Not set if the targets are brittle no more.
+        std::optional<request_rate> max_rejections_;
+        base::time_point stated_at_;
+    };
+
+    struct registered_target
+    {
+        id_digest pool_{};
+        int slots_ = 1;
+    };
+
+    /// True if the pool was not known to be that.
+    bool state_pool(id_digest pool, std::optional<request_rate> max_rejections,
+                    base::time_point stated);
+    /// Targets of the pool that have said nothing are taken to be brittle.
+    void assume(id_digest pool, base::time_point stated);
+
+    /// Statements of targets, with the slots as the limit.
+    target_limits slots_;
+    std::map<id_digest, pool_statement> pools_;
+    std::map<incarnation_digest, registered_target> targets_;
+};
+
+} // namespace tanagerlead::routing
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -156,6 +156,7 @@
     }
     targets_ = std::move(next);
     outages_.set_targets(targets);
+    brittle_.set_targets(targets);
     for (auto const& [request, run] : in_flight_)
     {
         auto const there = targets_.find(run.target_);
@@ -259,19 +260,26 @@
            limits_.on_answer(digest_of(target), limit, sent, now);
 }
 
-bool dispatcher::on_brittle(target_info const& target, bool is_brittle,
+bool dispatcher::on_brittle(target_info const& target,
+                            std::optional<request_rate> max_rejections,
                             base::time_point sent, base::time_point now)
 {
-    if (!is_brittle && brittle_.empty())
+    // Nearly all answers come while no target is brittle.
+    return (max_rejections || !brittle_.empty()) &&
+           brittle_.on_answer(target, max_rejections, sent, now);
+}
+
+void dispatcher::on_brittle_reported(peer_report const& report,
+                                     base::time_point now)
+{
+    for (auto const& statement : report.brittle_pools_)
     {
-        return false;
+        brittle_.on_pool_reported(statement, now);
     }
-    std::optional<request_rate> slots;
-    if (is_brittle)
+    for (auto const& statement : report.brittle_targets_)
     {
-        slots = request_rate{static_cast<double>(target.slots_)};
+        brittle_.on_reported(statement, now);
     }
-    return brittle_.on_answer(digest_of(target), slots, sent, now);
 }
 
 bool dispatcher::is_brittle(target_info const& target,
@@ -774,8 +782,7 @@
         announcements_.reported(now, peer_report::max_leaving, first);
     outages_.add_to(out, now, first);
     out.limits_ = limits_.reported(now, first, peer_report::max_limits);
-    out.brittle_targets_ =
-        brittle_.reported(now, first, peer_report::max_limits);
+    brittle_.add_to(out, now, first);
     for (auto const& [id, t] : targets_)
     {
         if (t.own_requests_ > 0 &&
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -111,16 +111,13 @@
     void on_limit_reported(limit_statement const& statement,
                            base::time_point now);
     /// The target said in its answer to a request that was sent at `sent` that
-    /// it falls over if it is overfilled, or said so no more. True if that was
-    /// not known.
-    bool on_brittle(target_info const& target, bool is_brittle,
+    /// it falls over beyond so many rejections a second, or said so no more.
+    /// True if that was not known.
+    bool on_brittle(target_info const& target,
+                    std::optional<request_rate> max_rejections,
                     base::time_point sent, base::time_point now);
-    /// Another daemon reports what a target said about that.
-    void on_brittle_reported(limit_statement const& statement,
-                             base::time_point now)
-    {
-        brittle_.on_reported(statement, now);
-    }
+    /// Another daemon reports what targets said about that.
+    void on_brittle_reported(peer_report const& report, base::time_point now);
     /// Whether the slots of the target are divided among the daemons.
     bool is_brittle(target_info const& target, base::time_point now) const;
     std::size_t brittle_count() const { return brittle_.count(); }
@@ -263,8 +260,7 @@
     target_announcements announcements_;
     target_outages outages_;
     target_limits limits_;
-    /// The slots of targets that must not be overfilled.
-    target_limits brittle_;
+    brittle_targets brittle_;
     std::map<lane_id, pool_record> pools_;
     absl::flat_hash_map<base::request_id, std::unique_ptr<waiting_call>>
         waiting_;
--- a/src/routing/peer_report.hpp
+++ b/src/routing/peer_report.hpp
@@ -4,6 +4,7 @@
 #include "src/base/serialization.hpp"
 #include "src/routing/id_digest.hpp"
 #include "src/routing/limit_statement.hpp"
+#include "src/routing/pool_brittleness.hpp"
 #include "src/routing/prompt_part.hpp"
 #include "src/routing/store_revision.hpp"
 #include "src/routing/target_info.hpp"
@@ -121,6 +122,7 @@
     static constexpr std::size_t max_part_proofs = 16;
     static constexpr std::size_t max_unreachable_pools = 16;
     static constexpr std::size_t max_observations = 32;
+    static constexpr std::size_t max_brittle_pools = 16;
 
     /// Random number for each start of the sender.
     std::uint64_t incarnation_ = 0;
@@ -158,6 +160,7 @@
     /// although others may have failed; see target_outages.
     std::vector<target_observation> failed_targets_;
     std::vector<target_observation> reached_targets_;
+    std::vector<pool_brittleness> brittle_pools_;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -238,6 +241,15 @@
         base::serialize_start_of_list(archive, reached_targets_,
                                       max_observations);
     }
+
+    bool has_brittle_pools() const { return !brittle_pools_.empty(); }
+
+    template <class Archive>
+    void serialize_brittle_pools(Archive& archive)
+    {
+        base::serialize_start_of_list(archive, brittle_pools_,
+                                      max_brittle_pools);
+    }
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/target_limits.cpp
+++ b/src/routing/target_limits.cpp
@@ -124,6 +124,15 @@
                  now - std::chrono::milliseconds{reported.age_ms_}, now);
 }
 
+void target_limits::assume(incarnation_digest target, request_rate limit,
+                           base::time_point stated)
+{
+    if (!statements_.contains(target))
+    {
+        state(target, limit, stated, stated);
+    }
+}
+
 bool target_limits::state(incarnation_digest target,
                           std::optional<request_rate> limit,
                           base::time_point stated, base::time_point now)
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -73,6 +73,10 @@
     /// The same, from the report of another daemon.
     bool on_reported(limit_statement const& reported, base::time_point now);
 
+    /// A target that has said nothing is taken to have a limit since `stated`.
+    void assume(incarnation_digest target, request_rate limit,
+                base::time_point stated);
+
     /// Null for a target without a limit. Valid until the next statement.
     target_limit const* find(incarnation_digest target) const;
     bool empty() const { return statements_.empty(); }
--- a/src/routing/target_selector.hpp
+++ b/src/routing/target_selector.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "src/base/random.hpp"
+#include "src/routing/brittle_targets.hpp"
 #include "src/routing/peer_table.hpp"
 #include "src/routing/pending_call.hpp"
 #include "src/routing/prefix_memory.hpp"
 #include "src/routing/service_time_estimate.hpp"
 #include "src/routing/target_info.hpp"
-#include "src/routing/target_limits.hpp"
 #include "src/sched/target_health.hpp"
 
 namespace tanagerlead::routing
@@ -63,7 +63,7 @@
     /// The arguments must outlive the selector.
     /// `brittle` holds the slots of the targets that must not be overfilled.
     target_selector(peer_table const& peers, target_limits const& limits,
-                    target_limits const& brittle,
+                    brittle_targets const& brittle,
                     base::data_centre_id const& local_data_centre,
                     base::random_source& random)
         : peers_{&peers}, limits_{&limits}, brittle_{&brittle},
@@ -161,7 +161,7 @@
 
     peer_table const* peers_;
     target_limits const* limits_;
-    target_limits const* brittle_;
+    brittle_targets const* brittle_;
     base::data_centre_id const* local_data_centre_;
     base::random_source* random_;
     std::vector<dispatch_target*> targets_;
--- a/tests/entry/report_codec_test.cpp
+++ b/tests/entry/report_codec_test.cpp
@@ -97,6 +97,21 @@
           old_report());
 }
 
+TEST(report_codec, carries_which_pools_are_brittle)
+{
+    auto report = example();
+    CHECK(!report.has_brittle_pools());
+    report.brittle_pools_.push_back({routing::id_digest{7}, 2500, 70'000});
+    auto const bytes = write_report(report);
+    auto const got = read_report(bytes);
+    LONGS_EQUAL(1, got->brittle_pools_.size());
+    CHECK(got->brittle_pools_[0].pool_ == routing::id_digest{7});
+    LONGS_EQUAL(2500, got->brittle_pools_[0].milli_rejections_per_second_);
+    LONGS_EQUAL(70'000, got->brittle_pools_[0].age_ms_);
+    CHECK(old_build::write_report(*old_build::read_report(bytes)) ==
+          old_report());
+}
+
 TEST(report_codec, passes_over_unknown_sections)
 {
     auto const got = read_report(old_report() +
--- a/tests/platform/wire_protocol_test.cpp
+++ b/tests/platform/wire_protocol_test.cpp
@@ -292,13 +292,30 @@
     CHECK(!without.limit_ && !without.is_limit_malformed_);
 }
 
-TEST(wire_protocol, reads_that_a_target_is_brittle)
+TEST(wire_protocol, reads_how_many_rejections_a_brittle_target_stands)
 {
-    net::http_response head;
-    head.status_ = 200;
-    CHECK(!protocol_.read_answer_metadata(head).is_brittle_);
-    head.headers_.add("Server-Brittle", "12");
-    CHECK(protocol_.read_answer_metadata(head).is_brittle_);
+    CHECK(!protocol_.read_answer_metadata({}).max_rejections_);
+    struct example
+    {
+        char const* value_;
+        double per_second_;
+    };
+    for (auto const& in : {example{"12", 12},
+                           {"2.5", 2.5},
+                           {"0", 0},
+                           {"-3", 1},
+                           {"few", 1},
+                           {"", 1},
+                           {"inf", 1}})
+    {
+        net::http_response head;
+        head.status_ = 200;
+        head.headers_.add("Server-Brittle", in.value_);
+        auto const read = protocol_.read_answer_metadata(head);
+        CHECK_TEXT(read.max_rejections_.has_value(), in.value_);
+        DOUBLES_EQUAL_TEXT(in.per_second_, read.max_rejections_->per_second_,
+                           1e-9, in.value_);
+    }
 }
 
 TEST(wire_protocol, answers_resolve_requests)
--- a/tests/routing/brittle_fleet_test.cpp
+++ b/tests/routing/brittle_fleet_test.cpp
@@ -49,7 +49,8 @@
     {
         for (auto const& t : targets_)
         {
-            dispatchers_.front()->on_brittle(t, true, at(1s), at(1s));
+            dispatchers_.front()->on_brittle(t, request_rate{3}, at(1s),
+                                             at(1s));
         }
         peer_report report;
         dispatchers_.front()->report_usage(report, at(1100ms));
@@ -57,14 +58,25 @@
         {
             for (int copy = 0; copy < 2; ++copy)
             {
-                for (auto const& statement : report.brittle_targets_)
-                {
-                    d->on_brittle_reported(statement, at(2s));
-                }
+                d->on_brittle_reported(report, at(2s));
             }
         }
     }
 
+    /// All targets fall over and are back under new ids.
+    void replace_targets()
+    {
+        for (auto& t : targets_)
+        {
+            t.id_ = base::target_id{t.id_.str() + "-again"};
+        }
+        for (auto const& d : dispatchers_)
+        {
+            d->set_targets({});
+            d->set_targets(targets_);
+        }
+    }
+
     /// More requests than the targets have slots. Returns how many each target
     /// gets.
     std::map<std::string, int> flood()
@@ -118,6 +130,42 @@
     }
 }
 
+TEST(brittle_fleet, never_overfills_a_target_that_is_back_after_a_fall)
+{
+    for (std::size_t const daemons : {1, 7, 75, 295})
+    {
+        deaf_fleet fleet{daemons};
+        fleet.make_brittle();
+        fleet.replace_targets();
+        auto const sent = fleet.flood();
+        LONGS_EQUAL(target_count, sent.size());
+        for (auto const& [target, count] : sent)
+        {
+            CHECK_TEXT(count <= slots, target.c_str());
+            CHECK_TEXT(2 * count >= slots, target.c_str());
+        }
+    }
+}
+
+TEST(brittle_fleet, a_new_target_is_not_brittle_once_another_is_no_more)
+{
+    peer_table const peers;
+    dispatcher d{{base::data_centre_id{"near"}, 1, peer_ip{1}}, peers};
+    d.set_fleet({peer_ip{1}}, at(0s));
+    d.set_targets({target("a"), target("b", 1, "other")});
+    d.on_brittle(target("a"), request_rate{3}, at(1s), at(1s));
+    d.set_targets({target("a"), target("b", 1, "other"), target("c")});
+    CHECK(d.is_brittle(target("c"), at(1s)));
+    CHECK(!d.is_brittle(target("b", 1, "other"), at(1s)));
+    // The answer to an earlier request says nothing new.
+    d.on_brittle(target("c"), std::nullopt, at(500ms), at(2s));
+    CHECK(d.is_brittle(target("c"), at(2s)));
+    d.on_brittle(target("a"), std::nullopt, at(2s), at(2s));
+    d.set_targets({target("a"), target("d")});
+    CHECK(!d.is_brittle(target("a"), at(2s)));
+    CHECK(!d.is_brittle(target("d"), at(2s)));
+}
+
 // A slot that two daemons use in turn is full for both when they use it at
 // once.
 TEST(brittle_fleet, a_daemon_without_a_slot_names_one_that_has_it)
@@ -132,7 +180,7 @@
         d.set_fleet(all, at(0s));
         d.set_targets({t});
         CHECK(!d.find_slot_owner(t.pool_));
-        d.on_brittle(t, true, at(1s), at(1s));
+        d.on_brittle(t, request_rate{3}, at(1s), at(1s));
         owners[self] = d.find_slot_owner(t.pool_);
         LONGS_EQUAL(owners[self] ? 0 : 1,
                     d.find_free_slot(call(1), at(2s)) == nullptr ? 0 : 1);
--- a/tests/routing/simulated_brittle.cpp
+++ b/tests/routing/simulated_brittle.cpp
@@ -441,10 +441,7 @@
         if (is_heard(d))
         {
             d.peers_->on_report(ip_of(m.from_), *m.report_, now_);
-            for (auto const& statement : m.report_->brittle_targets_)
-            {
-                d.dispatcher_->on_brittle_reported(statement, now_);
-            }
+            d.dispatcher_->on_brittle_reported(*m.report_, now_);
         }
         messages_.erase(messages_.begin());
     }
@@ -471,7 +468,13 @@
     auto& d = *daemons_[a.daemon_].dispatcher_;
     if (a.is_answer_)
     {
-        d.on_brittle(a.target_, is_brittle(), a.sent_, now_);
+        std::optional<request_rate> stated;
+        if (is_brittle())
+        {
+            stated =
+                request_rate{static_cast<double>(settings_.max_rejections_)};
+        }
+        d.on_brittle(a.target_, stated, a.sent_, now_);
     }
     if (!a.is_admission_)
     {
