A brittle target is not asked again at once by the daemon it turned away

What callers saw: targets that fell over under requests that they had to reject. Cause: the slot that a rejection left was free at once and the next waiting request took it, so one slot that was free here and taken at the target gave a rejection every round trip; N of 'Server-Brittle: N' was not read. Nobody bounded rejections.

Change: a slot whose request was turned away is in doubt (slot_doubt). Slots in doubt are tried one after the other, with pauses, until the target has begun to run a request there. The pause is so long that all daemons that have slots of the target cause at most half of its N rejections a second together: 2 * daemons / N seconds, 0.2 to 10.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -373,6 +373,10 @@
         delegate_.on_brittle(target_, metadata.max_rejections_,
                              attempt_sent_at_);
     }
+    if (!metadata.not_executed_ && !is_at_relay_)
+    {
+        delegate_.on_admitted(*this);
+    }
     drop_answer_body();
     answer_ = head;
     answer_metadata_ = metadata;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -40,6 +40,8 @@
     virtual void assign(routing::pending_call const& item,
                         base::target_id const& target) = 0;
     virtual void withdraw(call& waiting) = 0;
+    /// The target of the call has begun to run the request.
+    virtual void on_admitted(call const& running) = 0;
     virtual void on_attempt_end(call& running,
                                 routing::attempt_outcome end) = 0;
     virtual void on_service_time(base::target_id const& target,
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -495,6 +495,11 @@
     dispatcher_.withdraw(waiting.context().id_);
 }
 
+void data_plane::on_admitted(call const& running)
+{
+    dispatcher_.on_admitted(running.context().id_, net::now());
+}
+
 void data_plane::on_attempt_end(call& running, routing::attempt_outcome end)
 {
     if (end == routing::attempt_outcome::rejected && !running.is_at_relay())
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -99,6 +99,7 @@
     void assign(routing::pending_call const& item,
                 base::target_id const& target) override;
     void withdraw(call& waiting) override;
+    void on_admitted(call const& running) override;
     void on_attempt_end(call& running, routing::attempt_outcome end) override;
     void on_service_time(base::target_id const& target, base::duration took,
                          double units) override;
--- a/src/routing/brittle_targets.cpp
+++ b/src/routing/brittle_targets.cpp
@@ -8,6 +8,8 @@
 namespace tanagerlead::routing
 {
 
+using namespace std::chrono_literals;
+
 namespace
 {
 
@@ -15,6 +17,15 @@
 /// Bounds of what a target may say, in rejections a second.
 constexpr double min_rejections = 0.1;
 constexpr double max_rejections_kept = 1e6;
+/// Part of the rejections that a target stands which the daemons may cause.
+constexpr double rejection_fraction = 0.5;
+/// Bounds of the time in which a daemon may be turned away once. A target may
+/// have room again after a request has ended.
+constexpr base::duration min_rejection_interval = 200ms;
+constexpr base::duration max_rejection_interval = 10s;
+/// Random part of a pause, so that daemons that were turned away together do
+/// not come back together.
+constexpr double pause_jitter = 0.5;
 
 request_rate slots_of(int slots)
 {
@@ -44,6 +55,8 @@
             assume(pool, said.stated_at_);
         }
     }
+    std::erase_if(doubts_, [this](auto const& entry)
+                  { return find(entry.first) == nullptr; });
 }
 
 bool brittle_targets::on_answer(target_info const& target,
@@ -135,6 +148,74 @@
     }
 }
 
+base::duration
+brittle_targets::rejection_interval(incarnation_digest target) const
+{
+    auto const* const part = find(target);
+    auto const registered = targets_.find(target);
+    if (part == nullptr || registered == targets_.end())
+    {
+        return max_rejection_interval;
+    }
+    auto const pool = pools_.find(registered->second.pool_);
+    auto const rejections =
+        pool == pools_.end()
+            ? default_max_rejections
+            : pool->second.max_rejections_.value_or(default_max_rejections);
+    auto const fair = slots_.sharers(part->rate()) /
+                      (rejection_fraction * rejections.per_second_);
+    return std::clamp(base::from_seconds(std::min(
+                          fair, base::seconds(max_rejection_interval))),
+                      min_rejection_interval, max_rejection_interval);
+}
+
+int brittle_targets::usable_slots(incarnation_digest target,
+                                  base::time_point now) const
+{
+    auto const* const part = find(target);
+    if (part == nullptr)
+    {
+        return 0;
+    }
+    auto const doubt = doubts_.find(target);
+    return doubt == doubts_.end() ? part->slots()
+                                  : doubt->second.usable(part->slots(), now);
+}
+
+bool brittle_targets::on_sent(incarnation_digest target, int in_use,
+                              base::time_point now)
+{
+    auto const doubt = doubts_.find(target);
+    auto const* const part = find(target);
+    return doubt != doubts_.end() && part != nullptr &&
+           doubt->second.on_sent(part->slots(), in_use,
+                                 rejection_interval(target), now);
+}
+
+void brittle_targets::on_admitted(incarnation_digest target,
+                                  base::time_point now)
+{
+    auto const doubt = doubts_.find(target);
+    if (doubt != doubts_.end())
+    {
+        doubt->second.on_admitted(now);
+    }
+}
+
+void brittle_targets::on_rejected(incarnation_digest target, bool is_trial,
+                                  base::time_point now)
+{
+    if (find(target) != nullptr)
+    {
+        auto const factor = 1.0 + pause_jitter * random_.uniform();
+        doubts_[target].on_rejected(
+            is_trial,
+            base::from_seconds(factor *
+                               base::seconds(rejection_interval(target))),
+            now);
+    }
+}
+
 void brittle_targets::add_to(peer_report& out, base::time_point now,
                              std::size_t first) const
 {
--- a/src/routing/brittle_targets.hpp
+++ b/src/routing/brittle_targets.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "src/base/random.hpp"
 #include "src/routing/pool_brittleness.hpp"
+#include "src/routing/slot_doubt.hpp"
 #include "src/routing/target_limits.hpp"
 
 #include <map>
@@ -14,13 +16,19 @@
 /// such a target are divided among the daemons; see target_limits. The targets
 /// of a pool become brittle together, so one that has said nothing yet, such as
 /// one that is back after a fall, counts as what its pool last was.
+///
+/// A slot whose request was turned away rests for so long that all daemons
+/// together cause at most half of the rejections that the target stands.
 class brittle_targets
 {
 public:
     /// Rejections a second that a target stands if it names no number.
     static constexpr request_rate default_max_rejections{1};
 
-    explicit brittle_targets(peer_ip self) : slots_{self} {}
+    brittle_targets(peer_ip self, std::uint64_t seed)
+        : slots_{self}, random_{seed}
+    {
+    }
 
     void set_fleet(std::vector<peer_ip> const& daemons, base::time_point now);
     void set_targets(std::vector<target_info> const& targets);
@@ -42,6 +50,17 @@
     {
         return slots_.find(target);
     }
+    /// This daemon's slots of a brittle target that it may use now.
+    int usable_slots(incarnation_digest target, base::time_point now) const;
+    /// A request is sent to the target while `in_use` slots are taken. True if
+    /// it tries a slot that is in doubt; see slot_doubt.
+    bool on_sent(incarnation_digest target, int in_use, base::time_point now);
+    /// The target has begun to run a request that tried a slot.
+    void on_admitted(incarnation_digest target, base::time_point now);
+    /// The target turned a request away, which tried a slot if `is_trial`.
+    void on_rejected(incarnation_digest target, bool is_trial,
+                     base::time_point now);
+
     /// A daemon that has slots of the target; nothing if the fleet is not
     /// known.
     std::optional<peer_ip> first_sharer(incarnation_digest target) const
@@ -77,10 +96,16 @@
     /// Targets of the pool that have said nothing are taken to be brittle.
     void assume(id_digest pool, base::time_point stated);
 
+    /// Time in which each daemon that has slots of the target may be turned
+    /// away once.
+    base::duration rejection_interval(incarnation_digest target) const;
+
     /// Statements of targets, with the slots as the limit.
     target_limits slots_;
+    base::random_source random_;
     std::map<id_digest, pool_statement> pools_;
     std::map<incarnation_digest, registered_target> targets_;
+    std::map<incarnation_digest, slot_doubt> doubts_;
 };
 
 } // namespace tanagerlead::routing
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -59,7 +59,8 @@
 dispatcher::dispatcher(settings s, peer_table const& peers)
     : settings_{std::move(s)}, peers_{peers}, random_{settings_.seed_},
       outages_{settings_.self_}, limits_{settings_.self_}, brittle_{
-                                                               settings_.self_}
+                                                               settings_.self_,
+                                                               settings_.seed_}
 {
 }
 
@@ -541,15 +542,17 @@
     }
     limits_.on_sent(target.incarnation_, now);
     target.first_sent_at_ = target.first_sent_at_.value_or(now);
+    auto const is_trial =
+        brittle_.on_sent(target.incarnation_, target.own_requests_, now);
     ++target.own_requests_;
     target.own_tokens_ += tokens;
     if (!call.prompt_.empty())
     {
         pool(call.work_.pool_).targets_.on_sent(target, call, now);
     }
-    in_flight_.emplace(
-        call.work_.request_,
-        running_call{target.info_.id_, call.work_.pool_, now, tokens});
+    in_flight_.emplace(call.work_.request_,
+                       running_call{target.info_.id_, call.work_.pool_, now,
+                                    tokens, is_trial});
 }
 
 void dispatcher::assign(pending_call const& call, base::target_id const& target,
@@ -694,6 +697,21 @@
     return std::min(expiries_.next(), last_advance_ + recheck_interval);
 }
 
+void dispatcher::on_admitted(base::request_id request, base::time_point now)
+{
+    auto const found = in_flight_.find(request);
+    if (found == in_flight_.end() || !found->second.is_trial_)
+    {
+        return;
+    }
+    found->second.is_trial_ = false;
+    auto const known = targets_.find(found->second.target_);
+    if (known != targets_.end())
+    {
+        brittle_.on_admitted(known->second.incarnation_, now);
+    }
+}
+
 void dispatcher::on_attempt_end(base::request_id request, attempt_outcome end,
                                 base::time_point now)
 {
@@ -702,6 +720,10 @@
     {
         return;
     }
+    if (end == attempt_outcome::finished)
+    {
+        on_admitted(request, now);
+    }
     auto const run = found->second;
     in_flight_.erase(found);
     auto const known = targets_.find(run.target_);
@@ -714,6 +736,7 @@
         if (end == attempt_outcome::rejected)
         {
             t.rejected_at_ = now;
+            brittle_.on_rejected(t.incarnation_, run.is_trial_, now);
         }
         else if (end == attempt_outcome::cancelled ||
                  end == attempt_outcome::failed)
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -82,6 +82,8 @@
                 base::time_point now);
     /// Removes a waiting request. Does nothing if it does not wait.
     void withdraw(base::request_id request);
+    /// The target has begun to run the request.
+    void on_admitted(base::request_id request, base::time_point now);
     /// An attempt of a dispatched request has ended.
     void on_attempt_end(base::request_id request, attempt_outcome end,
                         base::time_point now);
@@ -175,6 +177,8 @@
         base::pool_id pool_;
         base::time_point dispatched_;
         base::token_count tokens_ = 0;
+        /// It tries a slot that the target may not have free.
+        bool is_trial_ = false;
     };
 
     struct pool_record
--- a/src/routing/target_limits.cpp
+++ b/src/routing/target_limits.cpp
@@ -72,6 +72,12 @@
     }
 }
 
+double target_limits::sharers(request_rate rate) const
+{
+    return std::clamp(std::floor(rate.per_second_), 1.0,
+                      std::max(1.0, static_cast<double>(daemons_.size())));
+}
+
 request_rate target_limits::share_of(incarnation_digest target,
                                      request_rate rate) const
 {
@@ -79,8 +85,7 @@
     {
         return {};
     }
-    auto const sharing = std::clamp(std::floor(rate.per_second_), 1.0,
-                                    static_cast<double>(daemons_.size()));
+    auto const sharing = sharers(rate);
     auto const own = weight_of(target, self_);
     auto const above = std::count_if(
         daemons_.begin(), daemons_.end(),
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -83,6 +83,8 @@
     /// A daemon that has a share of each limit of the target; nothing if the
     /// fleet is not known.
     std::optional<peer_ip> first_sharer(incarnation_digest target) const;
+    /// Daemons that have a share of a limit.
+    double sharers(request_rate rate) const;
     /// A request is sent to the target.
     void on_sent(incarnation_digest target, base::time_point now);
     /// A request that was to be sent did not reach the target.
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -162,7 +162,8 @@
     // daemons.
     auto const* const own_part = brittle_->find(t.incarnation_);
     auto const used = t.own_requests_ + (own_part ? 0 : peer_requests);
-    auto const slots = own_part ? own_part->slots() : t.info_.slots_ + extra;
+    auto const slots = own_part ? brittle_->usable_slots(t.incarnation_, now)
+                                : t.info_.slots_ + extra;
     auto const most = t.health_.max_outstanding(slots, now);
     auto const free = std::max(0, most - used);
     auto const* const limit = limit_of(t);
--- a/tests/routing/simulated_brittle.cpp
+++ b/tests/routing/simulated_brittle.cpp
@@ -476,7 +476,11 @@
         }
         d.on_brittle(a.target_, stated, a.sent_, now_);
     }
-    if (!a.is_admission_)
+    if (a.is_admission_)
+    {
+        d.on_admitted({1, a.number_}, now_);
+    }
+    else
     {
         end_attempt(a.daemon_, a.number_, a.target_, a.outcome_);
     }
