Rejections of one daemon at one instant count one by one

Cause: a daemon whose requests were turned away together paused once for all of them, so a lone daemon with six slots at a target that stands six rejections a second went on after a third of a second.

Change: each rejection adds its pause, up to 10 s.

--- a/src/routing/slot_doubt.cpp
+++ b/src/routing/slot_doubt.cpp
@@ -5,6 +5,16 @@
 namespace tanagerlead::routing
 {
 
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Longest pause after many rejections at once.
+constexpr base::duration max_pause = 10s;
+
+} // namespace
+
 int slot_doubt::usable(int own, base::time_point now) const
 {
     auto const in_doubt = std::min(slots_, own);
@@ -33,8 +43,13 @@
 void slot_doubt::on_rejected(bool is_trial, base::duration pause,
                              base::time_point now)
 {
-    slots_ += is_trial ? 0 : 1;
-    next_try_ = std::max(next_try_, now + pause);
+    if (is_trial)
+    {
+        next_try_ = std::max(next_try_, now + pause);
+        return;
+    }
+    ++slots_;
+    next_try_ = std::min(std::max(next_try_, now) + pause, now + max_pause);
 }
 
 void slot_doubt::add(int slots, base::duration delay, base::time_point now)
--- a/src/routing/slot_doubt.hpp
+++ b/src/routing/slot_doubt.hpp
@@ -21,7 +21,8 @@
     /// The target has begun to run a request that tried a slot.
     void on_admitted(base::time_point now);
     /// The target turned a request away, which tried a slot if `is_trial`.
-    /// No slot in doubt is tried before `pause` has passed.
+    /// No slot in doubt is tried before `pause` has passed, for each rejection
+    /// if there are several at once.
     void on_rejected(bool is_trial, base::duration pause, base::time_point now);
     /// Further slots are in doubt. If there were none, the first one may be
     /// tried after `delay`.
--- a/tests/routing/brittle_fleet_test.cpp
+++ b/tests/routing/brittle_fleet_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -45,12 +46,11 @@
 
     /// One daemon hears it from the targets, the others from its reports, which
     /// come late and twice.
-    void make_brittle()
+    void make_brittle(request_rate max_rejections = request_rate{3})
     {
         for (auto const& t : targets_)
         {
-            dispatchers_.front()->on_brittle(t, request_rate{3}, at(1s),
-                                             at(1s));
+            dispatchers_.front()->on_brittle(t, max_rejections, at(1s), at(1s));
         }
         peer_report report;
         dispatchers_.front()->report_usage(report, at(1100ms));
@@ -77,6 +77,47 @@
         }
     }
 
+    /// All targets turn all requests away, and each daemon gets two requests
+    /// every 10 ms. Returns the most rejections by one target in a second.
+    std::size_t most_rejections(base::duration length)
+    {
+        std::map<base::target_id, std::deque<base::time_point>> rejections;
+        std::size_t most = 0;
+        std::uint64_t number = 0;
+        for (auto now = at(3s); now < at(3s) + length; now += 10ms)
+        {
+            for (auto const& d : dispatchers_)
+            {
+                for (int i = 0; i < 2; ++i)
+                {
+                    auto request = call(++number);
+                    request.work_.deadline_ = now + 500ms;
+                    d->submit(request, now);
+                }
+                std::vector<sched::action> actions;
+                d->advance(now, actions);
+                for (auto const& action : actions)
+                {
+                    auto const* const g = std::get_if<sched::grant>(&action);
+                    if (g == nullptr)
+                    {
+                        continue;
+                    }
+                    auto& recent = rejections[g->target_];
+                    recent.push_back(now);
+                    while (recent.front() <= now - 1s)
+                    {
+                        recent.pop_front();
+                    }
+                    most = std::max(most, recent.size());
+                    d->on_attempt_end(g->request_, attempt_outcome::rejected,
+                                      now);
+                }
+            }
+        }
+        return most;
+    }
+
     /// More requests than the targets have slots. Returns how many each target
     /// gets.
     std::map<std::string, int> flood()
@@ -147,6 +188,18 @@
     }
 }
 
+TEST(brittle_fleet, is_turned_away_no_more_often_than_a_target_stands)
+{
+    for (std::size_t const daemons : {1, 7, 75, 295})
+    {
+        deaf_fleet fleet{daemons};
+        fleet.make_brittle(request_rate{slots});
+        auto const most = fleet.most_rejections(daemons < 100 ? 6s : 2s);
+        CHECK(most > 0);
+        CHECK_TEXT(most <= slots, std::to_string(most).c_str());
+    }
+}
+
 TEST(brittle_fleet, a_new_target_is_not_brittle_once_another_is_no_more)
 {
     peer_table const peers;
