Slots that a target may still run are tried at the rate that it stands

What callers saw: targets that fell over. Cause: a slot was free here as soon as the attempt ended, also when the connection broke or the target stalled and went on running; and a slot that changed hands with the fleet was free for its new owner while the former one's request ran. Where that happens to many daemons at once, they all send at once.

Change: attempt_outcome::lost tells such ends from answers with an error. Lost and newly owned slots are in doubt: of those of all daemons, so many are tried at once as half of the rejections that the target stands in a second, the others spread over the time after. Callers who leave put nothing in doubt, as most targets drop what they have left.

Evidence: simulated_brittle with a further fault, a target whose connections all break while it goes on running.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -57,11 +57,12 @@
     case attempt_failure::wrong_target:
         return attempt_outcome::displaced;
     case attempt_failure::target_error:
+        return attempt_outcome::failed;
     case attempt_failure::broken:
     case attempt_failure::stalled:
         break;
     }
-    return attempt_outcome::failed;
+    return attempt_outcome::lost;
 }
 
 } // namespace
@@ -669,7 +670,7 @@
     channel_->close();
     channel_.reset();
     progress_.may_have_run_ = true;
-    end_attempt(attempt_outcome::failed);
+    end_attempt(attempt_outcome::lost);
     delegate_.assign(next, chosen.id_);
     state_ = state::waiting;
     on_grant(chosen);
--- a/src/entry/call_relay.cpp
+++ b/src/entry/call_relay.cpp
@@ -122,7 +122,7 @@
     channel_->close();
     channel_.reset();
     progress_.may_have_run_ = true;
-    end_attempt(attempt_outcome::failed);
+    end_attempt(attempt_outcome::lost);
     state_ = state::waiting;
     submit();
     return true;
--- a/src/routing/brittle_targets.cpp
+++ b/src/routing/brittle_targets.cpp
@@ -17,6 +17,8 @@
 /// Bounds of what a target may say, in rejections a second.
 constexpr double min_rejections = 0.1;
 constexpr double max_rejections_kept = 1e6;
+/// Rejections are counted over this time.
+constexpr base::duration rejection_window = 1s;
 /// Part of the rejections that a target stands which the daemons may cause.
 constexpr double rejection_fraction = 0.5;
 /// Bounds of the time in which a daemon may be turned away once. A target may
@@ -37,7 +39,56 @@
 void brittle_targets::set_fleet(std::vector<peer_ip> const& daemons,
                                 base::time_point now)
 {
+    if (slots_.empty())
+    {
+        slots_.set_fleet(daemons, now);
+        return;
+    }
+    // What the former owner of a slot has at the target is not known here.
+    std::map<incarnation_digest, int> before;
+    for (auto const& [target, t] : targets_)
+    {
+        if (find(target) != nullptr)
+        {
+            before.emplace(target, slots_at(target));
+        }
+    }
     slots_.set_fleet(daemons, now);
+    for (auto const& [target, slots] : before)
+    {
+        doubt(target, slots_at(target) - slots, now);
+    }
+}
+
+int brittle_targets::slots_at(incarnation_digest target) const
+{
+    auto const* const part = find(target);
+    return part == nullptr ? 0 : part->slots();
+}
+
+// Slots that many daemons come to doubt at one instant are tried at the rate at
+// which the target stands rejections, those of the first second at once.
+void brittle_targets::doubt(incarnation_digest target, int slots,
+                            base::time_point now)
+{
+    if (slots > 0)
+    {
+        auto const delay =
+            random_.uniform() * base::seconds(rejection_interval(target)) -
+            base::seconds(rejection_window);
+        doubts_[target].add(slots, base::from_seconds(std::max(0.0, delay)),
+                            now);
+    }
+}
+
+void brittle_targets::on_lost(incarnation_digest target, bool is_trial,
+                              base::time_point now)
+{
+    // A slot that was tried is in doubt already.
+    if (!is_trial && find(target) != nullptr)
+    {
+        doubt(target, 1, now);
+    }
 }
 
 void brittle_targets::set_targets(std::vector<target_info> const& targets)
--- a/src/routing/brittle_targets.hpp
+++ b/src/routing/brittle_targets.hpp
@@ -61,6 +61,11 @@
     void on_rejected(incarnation_digest target, bool is_trial,
                      base::time_point now);
 
+    /// The connection to the target was lost or given up, so that it may still
+    /// run the request.
+    void on_lost(incarnation_digest target, bool is_trial,
+                 base::time_point now);
+
     /// A daemon that has slots of the target; nothing if the fleet is not
     /// known.
     std::optional<peer_ip> first_sharer(incarnation_digest target) const
@@ -99,6 +104,9 @@
     /// Time in which each daemon that has slots of the target may be turned
     /// away once.
     base::duration rejection_interval(incarnation_digest target) const;
+    /// Further slots may be taken at the target.
+    void doubt(incarnation_digest target, int slots, base::time_point now);
+    int slots_at(incarnation_digest target) const;
 
     /// Statements of targets, with the slots as the limit.
     target_limits slots_;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -739,10 +739,14 @@
             brittle_.on_rejected(t.incarnation_, run.is_trial_, now);
         }
         else if (end == attempt_outcome::cancelled ||
-                 end == attempt_outcome::failed)
+                 end == attempt_outcome::lost)
         {
             t.ended_early_at_ = now;
         }
+        if (end == attempt_outcome::lost)
+        {
+            brittle_.on_lost(t.incarnation_, run.is_trial_, now);
+        }
         if (end == attempt_outcome::not_connected)
         {
             limits_.on_not_sent(t.incarnation_, now);
--- a/src/routing/pending_call.hpp
+++ b/src/routing/pending_call.hpp
@@ -46,8 +46,11 @@
     rejected,
     /// Another target has its address, so this one is gone.
     displaced,
-    /// The target answered with an error, stalled, or its connection closed.
+    /// The target answered with an error.
     failed,
+    /// The target stalled, or its connection closed. It may still run the
+    /// request.
+    lost,
 };
 
 } // namespace tanagerlead::routing
--- a/tests/routing/brittle_falls_test.cpp
+++ b/tests/routing/brittle_falls_test.cpp
@@ -48,6 +48,14 @@
     }
 }
 
+TEST(brittle_falls, are_rare_at_targets_of_many_slots)
+{
+    for (std::uint64_t seed = 1; seed <= 24; ++seed)
+    {
+        check_falls({.slots_ = 24}, seed);
+    }
+}
+
 TEST(brittle_falls, are_rare_with_75_daemons)
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed)
--- a/tests/routing/simulated_brittle.cpp
+++ b/tests/routing/simulated_brittle.cpp
@@ -100,7 +100,7 @@
     next_fault_ = now_ + between({}, 2 * mean_fault_interval);
     auto const index = random_.below(daemons_.size());
     auto& d = daemons_[index];
-    switch (random_.below(6))
+    switch (random_.below(7))
     {
     case 0:
         if (runs(d))
@@ -131,6 +131,9 @@
     case 4:
         end_target(random_.below(targets_.size()));
         break;
+    case 5:
+        break_links(random_.below(targets_.size()));
+        break;
     default:
         burst_until_ = now_ + 500ms;
         break;
@@ -149,7 +152,7 @@
             {
                 return false;
             }
-            answer_later(place, j, attempt_outcome::failed, false);
+            answer_later(place, j, attempt_outcome::lost, false);
             j.is_abandoned_ = true;
             return random_.uniform() >= lingering_fraction;
         };
@@ -158,6 +161,20 @@
     }
 }
 
+// All connections to the target break, and it goes on running its requests.
+void simulated_brittle::break_links(std::size_t place)
+{
+    auto& t = targets_[place];
+    for (auto& j : t.running_)
+    {
+        if (!j.is_abandoned_)
+        {
+            answer_later(place, j, attempt_outcome::lost, false);
+            j.is_abandoned_ = true;
+        }
+    }
+}
+
 void simulated_brittle::arrive()
 {
     auto const work = base::seconds(min_work + max_work) / 2;
@@ -196,10 +213,13 @@
 void simulated_brittle::begin(std::size_t place, job j)
 {
     j.ends_at_ = now_ + j.work_;
-    answers_.emplace(now_ + answer_time,
-                     answer{j.daemon_, j.life_, j.number_,
-                            targets_[place].info_, place, j.sent_,
-                            attempt_outcome::finished, true, true});
+    if (!j.is_abandoned_)
+    {
+        answers_.emplace(now_ + answer_time,
+                         answer{j.daemon_, j.life_, j.number_,
+                                targets_[place].info_, place, j.sent_,
+                                attempt_outcome::finished, true, true});
+    }
     targets_[place].running_.push_back(j);
 }
 
@@ -288,14 +308,15 @@
     {
         return;
     }
-    for (auto const& j : t.running_)
-    {
-        answer_later(place, j, attempt_outcome::failed, false);
-    }
-    for (auto const& j : t.queue_)
+    auto const lose = [&](job const& j)
     {
-        answer_later(place, j, attempt_outcome::failed, false);
-    }
+        if (!j.is_abandoned_)
+        {
+            answer_later(place, j, attempt_outcome::lost, false);
+        }
+    };
+    std::for_each(t.running_.begin(), t.running_.end(), lose);
+    std::for_each(t.queue_.begin(), t.queue_.end(), lose);
     t.running_.clear();
     t.queue_.clear();
     t.rejections_.clear();
--- a/tests/routing/simulated_brittle.hpp
+++ b/tests/routing/simulated_brittle.hpp
@@ -14,7 +14,8 @@
 /// incarnation. There are more requests than the targets can run, some callers
 /// leave early, and some targets go on running what a caller has left. Daemons
 /// die, freeze, start, are not heard and are cut off from the targets; targets
-/// crash; requests come in bursts; reports are lost and late.
+/// crash, or go on running what all daemons have lost; requests come in bursts;
+/// reports are lost and late.
 class simulated_brittle
 {
 public:
@@ -147,6 +148,7 @@
     void report(std::size_t from);
     void decide(std::size_t index);
     void cut_off(std::size_t index);
+    void break_links(std::size_t place);
     bool is_up(simulated_target const& t) const
     {
         return now_ >= t.down_until_;
