Statements of targets age while daemons report them to each other

Cause: a report is late, so the receiver computes too small an age for what it repeats. Two daemons that report a statement to each other so keep it young: with reports every 0.2 s that are 0.1 s late it never ages, is repeated for ever and never forgotten.

Change: a report that repeats what is known counts only if its time is a second later than the known one.

--- a/src/routing/target_limits.cpp
+++ b/src/routing/target_limits.cpp
@@ -125,8 +125,14 @@
     {
         limit = request_rate{reported.milli_per_second_ / milli};
     }
-    return state(reported.target_, limit,
-                 now - std::chrono::milliseconds{reported.age_ms_}, now);
+    auto const stated = now - std::chrono::milliseconds{reported.age_ms_};
+    auto const known = statements_.find(reported.target_);
+    if (known != statements_.end() && known->second.says(limit) &&
+        stated - known->second.stated_at_ < report_tolerance)
+    {
+        return false;
+    }
+    return state(reported.target_, limit, stated, now);
 }
 
 void target_limits::assume(incarnation_digest target, request_rate limit,
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -56,6 +56,9 @@
     static constexpr request_rate max_rate{1e6};
     /// Time for which a share may be saved up beyond one request.
     static constexpr base::duration burst_time = std::chrono::milliseconds{100};
+    /// Two reports of one statement may differ by this in its time. Reports are
+    /// late, so a statement that goes back and forth would never age otherwise.
+    static constexpr base::duration report_tolerance = std::chrono::seconds{1};
     /// How long a statement is repeated in reports to other daemons.
     static constexpr base::duration report_time = std::chrono::seconds{3};
     /// How long the limit of a target is kept that says nothing any more.
@@ -103,6 +106,11 @@
         /// Not set if the target named no limit any more.
         std::optional<target_limit> limit_;
         base::time_point stated_at_;
+
+        bool says(std::optional<request_rate> limit) const
+        {
+            return limit_ ? limit == limit_->rate() : !limit;
+        }
     };
 
     bool state(incarnation_digest target, std::optional<request_rate> limit,
