--- a/src/routing/brittle_targets.cpp
+++ b/src/routing/brittle_targets.cpp
@@ -19,6 +19,9 @@
 constexpr double max_rejections_kept = 1e6;
 /// Rejections are counted over this time.
 constexpr base::duration rejection_window = 1s;
+/// How long the statement of a pool is repeated in reports. It is kept for
+/// longer, so that a daemon that forgets it does not hear it again.
+constexpr base::duration pool_report_time = target_limits::retention / 2;
 /// Part of the rejections that a target stands which the daemons may cause.
 constexpr double rejection_fraction = 0.5;
 /// Bounds of the time in which a daemon may be turned away once. A target may
@@ -39,6 +42,9 @@
 void brittle_targets::set_fleet(std::vector<peer_ip> const& daemons,
                                 base::time_point now)
 {
+    std::erase_if(
+        pools_, [now](auto const& entry)
+        { return now - entry.second.stated_at_ > target_limits::retention; });
     if (slots_.empty())
     {
         slots_.set_fleet(daemons, now);
@@ -157,8 +163,16 @@
         max_rejections =
             request_rate{reported.milli_rejections_per_second_ / milli};
     }
-    state_pool(reported.pool_, max_rejections,
-               now - std::chrono::milliseconds{reported.age_ms_});
+    auto const stated = now - std::chrono::milliseconds{reported.age_ms_};
+    auto const known = pools_.find(reported.pool_);
+    auto const is_repeated =
+        known != pools_.end() &&
+        known->second.max_rejections_ == max_rejections &&
+        stated - known->second.stated_at_ < target_limits::report_tolerance;
+    if (!is_repeated)
+    {
+        state_pool(reported.pool_, max_rejections, stated);
+    }
 }
 
 bool brittle_targets::state_pool(id_digest pool,
@@ -275,7 +289,7 @@
     for (auto const& [pool, said] : pools_)
     {
         auto const age = now - said.stated_at_;
-        if (age <= target_limits::retention)
+        if (age <= pool_report_time)
         {
             auto const rate =
                 said.max_rejections_ ? said.max_rejections_->per_second_ : 0;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -283,8 +283,7 @@
     }
 }
 
-bool dispatcher::is_brittle(target_info const& target,
-                            base::time_point /*now*/) const
+bool dispatcher::is_brittle(target_info const& target) const
 {
     return brittle_.find(digest_of(target)) != nullptr;
 }
--- a/src/routing/dispatcher.hpp
+++ b/src/routing/dispatcher.hpp
@@ -121,7 +121,7 @@
     /// Another daemon reports what targets said about that.
     void on_brittle_reported(peer_report const& report, base::time_point now);
     /// Whether the slots of the target are divided among the daemons.
-    bool is_brittle(target_info const& target, base::time_point now) const;
+    bool is_brittle(target_info const& target) const;
     std::size_t brittle_count() const { return brittle_.count(); }
     /// Nothing for a target that is not registered.
     std::optional<rejection_view> view_rejection(base::target_id const& target,
--- a/tests/routing/brittle_fleet_test.cpp
+++ b/tests/routing/brittle_fleet_test.cpp
@@ -208,15 +208,43 @@
     d.set_targets({target("a"), target("b", 1, "other")});
     d.on_brittle(target("a"), request_rate{3}, at(1s), at(1s));
     d.set_targets({target("a"), target("b", 1, "other"), target("c")});
-    CHECK(d.is_brittle(target("c"), at(1s)));
-    CHECK(!d.is_brittle(target("b", 1, "other"), at(1s)));
+    CHECK(d.is_brittle(target("c")));
+    CHECK(!d.is_brittle(target("b", 1, "other")));
     // The answer to an earlier request says nothing new.
     d.on_brittle(target("c"), std::nullopt, at(500ms), at(2s));
-    CHECK(d.is_brittle(target("c"), at(2s)));
+    CHECK(d.is_brittle(target("c")));
     d.on_brittle(target("a"), std::nullopt, at(2s), at(2s));
     d.set_targets({target("a"), target("d")});
-    CHECK(!d.is_brittle(target("a"), at(2s)));
-    CHECK(!d.is_brittle(target("d"), at(2s)));
+    CHECK(!d.is_brittle(target("a")));
+    CHECK(!d.is_brittle(target("d")));
+}
+
+TEST(brittle_fleet, a_statement_ages_while_daemons_report_it_to_each_other)
+{
+    peer_table const peers;
+    dispatcher one{{base::data_centre_id{"near"}, 1, peer_ip{1}}, peers};
+    dispatcher other{{base::data_centre_id{"near"}, 2, peer_ip{2}}, peers};
+    std::vector<peer_ip> const all{peer_ip{1}, peer_ip{2}};
+    one.set_targets({target("a")});
+    one.on_brittle(target("a"), request_rate{3}, at(1s), at(1s));
+    auto const end = at(1s) + target_limits::retention;
+    for (auto now = at(1s); now < end + 1s; now += 200ms)
+    {
+        for (auto* const from : {&one, &other})
+        {
+            from->set_fleet(all, now);
+            peer_report report;
+            from->report_usage(report, now);
+            (from == &one ? other : one)
+                .on_brittle_reported(report, now + 100ms);
+        }
+    }
+    for (auto* const d : {&one, &other})
+    {
+        d->set_fleet(all, end + 3s);
+        d->set_targets({target("b")});
+        CHECK(!d->is_brittle(target("b")));
+    }
 }
 
 // A slot that two daemons use in turn is full for both when they use it at
--- a/tests/routing/simulated_brittle.cpp
+++ b/tests/routing/simulated_brittle.cpp
@@ -277,7 +277,7 @@
         t.rejections_.pop_front();
     }
     ++result_.rejections_;
-    result_.unaware_ += d.dispatcher_->is_brittle(t.info_, now_) ? 0 : 1;
+    result_.unaware_ += d.dispatcher_->is_brittle(t.info_) ? 0 : 1;
     auto& last = d.rejected_at_[place];
     result_.repeated_ += now_ - last < repeated_time ? 1 : 0;
     last = now_;
--- a/tests/soak/platform_target.cpp
+++ b/tests/soak/platform_target.cpp
@@ -12,6 +12,13 @@
 
 constexpr std::size_t max_runs = 12;
 constexpr base::duration plain_time = 8ms;
+/// The same at a brittle target, which so has too little room for all callers.
+constexpr base::duration brittle_plain_time = 80ms;
+/// Requests that may wait at a brittle target.
+constexpr std::size_t brittle_queue = 1;
+/// Time after the first statement from which a brittle target may fall over.
+constexpr base::duration brittle_reaction_time = 3s;
+constexpr base::duration rejection_window = 1s;
 constexpr base::duration event_time = 10ms;
 
 /// Time within which every daemon must have heard of a shutdown from the
@@ -75,6 +82,10 @@
     {
         head.headers_.add("Server-Limit", std::to_string(limit_));
     }
+    if (max_rejections_ > 0)
+    {
+        head.headers_.add("Server-Brittle", std::to_string(max_rejections_));
+    }
 }
 
 void platform_target::set_limit(double per_second)
@@ -103,6 +114,43 @@
     }
 }
 
+void platform_target::set_brittle(int max_rejections)
+{
+    max_rejections_ = max_rejections;
+    brittle_since_ = net::now();
+    rejections_.clear();
+}
+
+bool platform_target::is_stably_brittle() const
+{
+    return max_rejections_ > 0 &&
+           net::now() - brittle_since_ > brittle_reaction_time;
+}
+
+std::size_t platform_target::room() const
+{
+    return is_stably_brittle() ? target_slots + brittle_queue : max_runs;
+}
+
+void platform_target::check_rejections()
+{
+    auto const now = net::now();
+    if (!is_stably_brittle() || is_falling_)
+    {
+        return;
+    }
+    rejections_.push_back(now);
+    while (rejections_.front() <= now - rejection_window)
+    {
+        rejections_.pop_front();
+    }
+    if (rejections_.size() > static_cast<std::size_t>(max_rejections_))
+    {
+        is_falling_ = true;
+        on_fall_();
+    }
+}
+
 void platform_target::announce_leaving()
 {
     is_leaving_ = true;
@@ -140,6 +188,8 @@
 base::result<void> platform_target::start()
 {
     is_leaving_ = false;
+    is_falling_ = false;
+    rejections_.clear();
     limit_ = 0;
     arrivals_.clear();
     announced_at_.reset();
@@ -195,9 +245,15 @@
     }
     check_wanted();
     check_limit();
-    if (runs_.size() >= max_runs || net::now() < paused_until_)
+    if (net::now() < paused_until_)
+    {
+        refuse(from, 503, id);
+        return;
+    }
+    if (runs_.size() >= room())
     {
         refuse(from, 503, id);
+        check_rejections();
         return;
     }
     ledger_.on_run(id);
@@ -227,7 +283,7 @@
     }
     r->due_ = std::make_unique<net::deadline_timer>(loop_, [this, r]
                                                     { answer_plain(*r); });
-    r->due_->set_after(plain_time);
+    r->due_->set_after(max_rejections_ > 0 ? brittle_plain_time : plain_time);
 }
 
 void platform_target::answer_plain(run& r)
--- a/tests/soak/platform_target.hpp
+++ b/tests/soak/platform_target.hpp
@@ -9,6 +9,9 @@
 namespace tanagerlead::soak
 {
 
+/// Requests that a target runs at once, by its registry entry.
+constexpr int target_slots = 3;
+
 /// Body of a complete answer to the request `id`.
 std::string expected_body(std::string const& id);
 /// Number of events in a complete stream for the request `id`.
@@ -48,6 +51,13 @@
     /// Names a limit in all answers, or none any more.
     void set_limit(double per_second);
     bool has_limit() const { return limit_ > 0; }
+    /// Says in all answers that it stands so many rejections a second, or says
+    /// so no more (0). From some seconds later on fewer requests may wait, and
+    /// it falls over beyond that number. The start of the time is passed on to
+    /// later incarnations.
+    void set_brittle(int max_rejections);
+    /// Called when it falls over; the owner ends it soon after.
+    std::function<void()> on_fall_;
     /// Called when more requests arrive than the limit allows, with the time
     /// since when all daemons must have heard it.
     std::function<void(base::time_point)> on_too_many_;
@@ -80,6 +90,11 @@
     /// Checks whether daemons honour what the target announced.
     void check_wanted();
     void check_limit();
+    /// Requests that it takes at once.
+    std::size_t room() const;
+    bool is_stably_brittle() const;
+    /// Counts a request that is turned away for want of room.
+    void check_rejections();
     void add_statements(net::http_response& head) const;
     void answer_plain(run& r);
     void answer_event(run& r);
@@ -100,6 +115,11 @@
     double limit_ = 0;
     base::time_point limited_at_{};
     std::deque<base::time_point> arrivals_;
+    /// Rejections a second; 0: it is not brittle.
+    int max_rejections_ = 0;
+    base::time_point brittle_since_{};
+    std::deque<base::time_point> rejections_;
+    bool is_falling_ = false;
     std::string id_;
     base::address address_{"127.0.0.1", 0};
     net::http_listener listener_;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -14,6 +14,9 @@
 ABSL_FLAG(int, seeds, 1, "runs, each with the next seed");
 ABSL_FLAG(double, seconds, 15, "time with faults in each run");
 ABSL_FLAG(int, fault_interval_ms, 400, "mean time between two faults");
+ABSL_FLAG(int, brittle, 0,
+          "rejections a second that the targets stand all along; 0: they "
+          "become brittle as one of the faults");
 ABSL_FLAG(bool, story, false, "tell each fault");
 
 namespace
@@ -30,6 +33,7 @@
         tanagerlead::base::from_seconds(absl::GetFlag(FLAGS_seconds));
     settings.fault_interval_ =
         std::chrono::milliseconds{absl::GetFlag(FLAGS_fault_interval_ms)};
+    settings.max_rejections_ = absl::GetFlag(FLAGS_brittle);
     settings.program_ = absl::GetFlag(FLAGS_program);
     settings.folder_ =
         absl::GetFlag(FLAGS_folder) + "/seed-" + std::to_string(seed);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -98,6 +98,7 @@
     {"target announces its shutdown", &soak_run::announce_leaving},
     {"target asks for a pause", &soak_run::pause_target},
     {"a part of prompts crashes targets", &soak_run::begin_crashing_part},
+    {"targets become brittle", &soak_run::make_targets_brittle},
 };
 
 soak_run::soak_run(soak_settings settings)
@@ -124,6 +125,10 @@
 std::vector<std::string> const& soak_run::play()
 {
     start();
+    if (settings_.max_rejections_ > 0)
+    {
+        set_brittle(settings_.max_rejections_);
+    }
     run_for(settings_.length_);
     lift_faults();
     check_recovery();
@@ -169,6 +174,10 @@
         };
         auto& place = targets_.emplace_back(
             target_place{std::move(target), std::move(relay), true});
+        place.target_->on_fall_ = [this, &place]
+        {
+            on_fall(place);
+        };
         place.target_->does_crash_ = [this, &place](std::string const& parts)
         {
             return on_prompt(place, parts);
@@ -229,11 +238,13 @@
 void soak_run::write_target(target_place& place, char const* state)
 {
     place.state_ = state;
-    json const entry{
-        {"Service", "pool"}, {"Address", place.relay_->address().str()},
-        {"Zone", "z0"},      {"Version", place.target_->version()},
-        {"Slots", 8},        {"State", state},
-        {"Seq", 1}};
+    json const entry{{"Service", "pool"},
+                     {"Address", place.relay_->address().str()},
+                     {"Zone", "z0"},
+                     {"Version", place.target_->version()},
+                     {"Slots", target_slots},
+                     {"State", state},
+                     {"Seq", 1}};
     store_.put("servers/" + place.target_->id(), entry.dump());
 }
 
@@ -653,6 +664,51 @@
     return place.target_->id();
 }
 
+std::string soak_run::make_targets_brittle()
+{
+    if (are_brittle_)
+    {
+        return {};
+    }
+    constexpr int most = 6;
+    auto const rejections = 2 + static_cast<int>(random_.below(most - 1));
+    falls_ = 0;
+    set_brittle(rejections);
+    after(between(8s, 14s), [this] { set_brittle(0); });
+    return std::to_string(rejections) + " rejections a second";
+}
+
+void soak_run::set_brittle(int max_rejections)
+{
+    are_brittle_ = max_rejections > 0;
+    for (auto& place : targets_)
+    {
+        place.target_->set_brittle(max_rejections);
+    }
+}
+
+void soak_run::on_fall(target_place& place)
+{
+    constexpr int slack = 2;
+    constexpr int targets_a_fall = 10;
+    if (!place.up_)
+    {
+        return;
+    }
+    auto const counts = have_run_since(net::now() - stable_window);
+    falls_ += counts ? 1 : 0;
+    note(place.target_->id() + " falls over" +
+         (counts ? "" : ", while daemons are disturbed"));
+    if (counts && falls_ > slack + settings_.targets_ / targets_a_fall)
+    {
+        ledger_.fail("brittle targets fell over " + std::to_string(falls_) +
+                     " times");
+    }
+    place.up_ = false;
+    // The target is in the middle of the request.
+    net::asio::post(loop_, [this, &place] { replace_target(place); });
+}
+
 void soak_run::on_unwanted_request(platform_target const& target,
                                    base::time_point since)
 {
@@ -711,6 +767,7 @@
         restore(*place.relay_);
         place.target_->set_limit(0);
     }
+    set_brittle(0);
     store_.set_fault(store_fault::none);
     note("all faults are lifted");
 }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -20,6 +20,9 @@
     int callers_ = 24;
     /// Mean time between two faults.
     base::duration fault_interval_ = std::chrono::milliseconds{400};
+    /// Rejections a second that the targets stand as long as there are faults;
+    /// 0: they become brittle as one of the faults.
+    int max_rejections_ = 0;
     std::string program_;
     /// Holds the settings and logs of the daemons.
     std::string folder_;
@@ -94,6 +97,7 @@
     std::string restore_store();
     std::string announce_leaving();
     std::string pause_target();
+    std::string make_targets_brittle();
     std::string begin_crashing_part();
 
     void start();
@@ -121,6 +125,8 @@
     /// A target begins to run a request with these parts of a prompt. Whether
     /// that crashes it.
     bool on_prompt(target_place& place, std::string const& parts);
+    void on_fall(target_place& place);
+    void set_brittle(int max_rejections);
     void on_too_many_requests(platform_target const& target,
                               base::time_point since);
     /// Whether all daemons run, without a disturbance since `since`.
@@ -150,6 +156,10 @@
     std::vector<std::unique_ptr<fakes::relay>> stopped_relays_;
     crashing_part_record crashing_part_;
     int crashing_parts_ = 0;
+    /// Targets that fell over in the time in which they are brittle, while all
+    /// daemons ran undisturbed.
+    int falls_ = 0;
+    bool are_brittle_ = false;
     std::deque<daemon_process> daemons_;
     std::deque<soak_caller> callers_;
     net::deadline_timer fault_timer_;
