The end of a request is logged with its events, pauses and moves

Cause: the logs could not tell where long answers are lost: the number of events, the waits after the first one and moved attempts were not in them, and what an answer really has is known to nobody before it ends. Change: events, max_gap_ms, moves, rejections and queued_ms in Request ended.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -155,11 +155,22 @@
         apply_verdict(retry_decision::truncate, "unknown_version");
         return;
     }
+    queued_at_ = net::now();
     delegate_.submit(make_item());
 }
 
+void call::leave_queue()
+{
+    if (queued_at_)
+    {
+        queued_ += net::now() - *queued_at_;
+        queued_at_.reset();
+    }
+}
+
 void call::on_refusal(sched::refusal_cause cause, base::duration retry_after)
 {
+    leave_queue();
     auto const why = sched::to_string(cause);
     // A refused retry may follow an attempt that was executed, and then the
     // request must not be reported as not executed.
@@ -179,6 +190,7 @@
 void call::on_grant(routing::target_info const& target)
 {
     assert(state_ == state::waiting);
+    leave_queue();
     target_ = target;
     is_at_relay_ = false;
     open_channel();
@@ -455,6 +467,7 @@
         {
             on_first_event();
         }
+        on_event_sent(now);
         send_to_caller(event->bytes_);
     }
     if (!is_proved_ && has_run_well())
@@ -469,6 +482,16 @@
     }
 }
 
+void call::on_event_sent(base::time_point now)
+{
+    if (events_sent_ > 0)
+    {
+        longest_gap_ = std::max(longest_gap_, now - last_event_sent_at_);
+    }
+    last_event_sent_at_ = now;
+    ++events_sent_;
+}
+
 void call::send_to_caller(std::string_view bytes)
 {
     if (!progress_.answer_started_)
@@ -672,6 +695,7 @@
     progress_.may_have_run_ = true;
     end_attempt(attempt_outcome::lost);
     delegate_.assign(next, chosen.id_);
+    ++moves_;
     state_ = state::waiting;
     on_grant(chosen);
 }
@@ -811,6 +835,7 @@
     }
     if (state_ == state::waiting)
     {
+        leave_queue();
         delegate_.withdraw(*this);
     }
     else
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -190,6 +190,13 @@
     /// The current attempt is made by another daemon.
     bool is_at_relay() const { return is_at_relay_; }
     base::time_point first_sent_at() const { return first_sent_at_; }
+    /// Events that the caller was sent, and the longest pause between them.
+    int events_sent() const { return events_sent_; }
+    base::duration longest_gap() const { return longest_gap_; }
+    /// Time spent in the queue of this daemon, over all attempts.
+    base::duration queued() const { return queued_; }
+    /// Attempts that were moved away from a stalled target.
+    int moves() const { return moves_; }
     int status() const { return status_; }
 
     net::head_action on_head(net::http_response const& head) override;
@@ -216,6 +223,8 @@
     void abandon_unsent();
     void refuse_quarantined();
     void forward_events();
+    void on_event_sent(base::time_point now);
+    void leave_queue();
     void send_to_caller(std::string_view bytes);
     void drop_answer_body();
     void on_caller_disconnected();
@@ -313,6 +322,13 @@
     base::time_point attempt_first_event_at_{};
     base::time_point attempt_last_event_at_{};
     int attempt_event_count_ = 0;
+    int events_sent_ = 0;
+    base::time_point last_event_sent_at_{};
+    base::duration longest_gap_{};
+    /// Set while the request waits in the queue of this daemon.
+    std::optional<base::time_point> queued_at_;
+    base::duration queued_{};
+    int moves_ = 0;
     bool is_proved_ = false;
     /// The current attempt is the trial of a request in quarantine.
     bool is_trial_ = false;
--- a/src/entry/call_log.cpp
+++ b/src/entry/call_log.cpp
@@ -25,7 +25,12 @@
         .with("target", finished.target().str())
         .with("version", finished.version().str())
         .with("attempts", finished.progress().attempts_)
-        .with("failed_connects", finished.progress().failed_connects_);
+        .with("failed_connects", finished.progress().failed_connects_)
+        .with("rejections", finished.progress().rejections_)
+        .with("moves", finished.moves())
+        .with("events", finished.events_sent())
+        .with_ms("max_gap_ms", finished.longest_gap())
+        .with_ms("queued_ms", finished.queued());
     if (finished.progress().attempts_ > 0)
     {
         line.with_ms("waited_ms",
