Scarce quotas are spent on requests of all sizes

Callers saw: in a workspace that asks for more than its quota, requests of many tokens are refused nearly always and small ones nearly never. Cause: a bucket admitted a request only if it held the request's own units and up to eight times as many in reserve. The small ones keep the level of a scarce quota low, so it seldom covers a large one. Change: requests of all sizes need the level that covers one of mean size; a larger one takes the bucket below zero and is paid before the next is admitted. What is refused is told to come back when its own units are there, as before.

--- a/src/routing/quota_limiter.cpp
+++ b/src/routing/quota_limiter.cpp
@@ -15,19 +15,23 @@
 /// transit.
 constexpr double usable_slack_fraction = 0.5;
 /// Units reserved for higher ranks: this fraction of the bucket, but at most
-/// this many requests of the same size.
+/// this many requests of mean size.
 constexpr double reserved_fraction = 0.3;
 constexpr double reserved_requests = 8;
+/// Weight of the newest request in the mean units of a request.
+constexpr double mean_gain = 0.05;
 
 } // namespace
 
-// A request may be larger than the bucket; it then needs a full one.
-double quota_limiter::required_level(bucket const& b, demand const& d)
+double quota_limiter::typical_units(bucket const& b, demand const& d)
 {
-    auto const reserve =
-        d.relative_rank_ *
-        std::min(reserved_fraction * b.burst_, reserved_requests * d.units_);
-    return std::min(d.units_ + reserve, b.burst_);
+    return b.mean_units_ > 0 ? b.mean_units_ : d.units_;
+}
+
+double quota_limiter::reserve(bucket const& b, demand const& d)
+{
+    return d.relative_rank_ * std::min(reserved_fraction * b.burst_,
+                                       reserved_requests * typical_units(b, d));
 }
 
 void quota_limiter::configure(std::vector<workspace> const& workspaces,
@@ -93,10 +97,17 @@
     }
     auto& b = found->second;
     refill(b, now);
-    if (b.level_ < required_level(b, d))
+    // Requests of all sizes need the same level. The small ones keep that of a
+    // scarce quota too low for a large one to be covered by it. A request may
+    // be larger than the bucket; it then needs a full one.
+    auto const required =
+        std::min(typical_units(b, d) + reserve(b, d), b.burst_);
+    if (b.level_ < required)
     {
         return false;
     }
+    b.mean_units_ +=
+        b.mean_units_ == 0 ? d.units_ : mean_gain * (d.units_ - b.mean_units_);
     b.level_ -= d.units_;
     b.spent_ += d.units_;
     b.last_spent_ = now;
@@ -125,7 +136,8 @@
     }
     auto& b = found->second;
     refill(b, now);
-    auto const shortfall = std::max(0.0, required_level(b, d) - b.level_);
+    auto const shortfall =
+        std::max(0.0, std::min(d.units_ + reserve(b, d), b.burst_) - b.level_);
     auto const wait =
         base::from_seconds((shortfall + b.pending_retry_units_) / b.rate_);
     b.pending_retry_units_ += d.units_;
--- a/src/routing/quota_limiter.hpp
+++ b/src/routing/quota_limiter.hpp
@@ -18,7 +18,8 @@
 };
 
 /// Enforces fleet-wide quotas with token buckets. A workspace that asks for
-/// more than its quota gets its quota, spent on its highest ranks first. Each
+/// more than its quota gets its quota, spent on its highest ranks first,
+/// whatever the size of its requests. Each
 /// daemon keeps one bucket for each workspace and takes out of it what it
 /// admits and what the other daemons report. While some daemons are silent, the
 /// buckets fill only at the heard fraction of the rate, so that groups that
@@ -44,7 +45,8 @@
     };
 
     /// Takes the units out of the bucket, or returns false when the workspace
-    /// has too few. The last units are reserved for requests of higher ranks.
+    /// has too few for a request of mean size. A larger one takes the bucket
+    /// below zero. The last units are reserved for requests of higher ranks.
     bool admit(base::workspace_id const& id, demand const& d,
                base::time_point now);
     /// Returns units of a request that was admitted and did not run.
@@ -77,6 +79,8 @@
         double burst_ = 0;
         double level_ = 0;
         double spent_ = 0;
+        /// Mean units of an admitted request; zero before the first one.
+        double mean_units_ = 0;
         /// Units of refused requests that are expected to be retried.
         double pending_retry_units_ = 0;
         base::time_point last_refill_{};
@@ -84,7 +88,11 @@
     };
 
     void refill(bucket& b, base::time_point now) const;
-    static double required_level(bucket const& b, demand const& d);
+    /// Units that a request of mean size takes, or this one before any is
+    /// known.
+    static double typical_units(bucket const& b, demand const& d);
+    /// Units that are kept for requests of higher ranks.
+    static double reserve(bucket const& b, demand const& d);
 
     std::map<base::workspace_id, bucket> buckets_;
     double slack_;
