A begun stream leaves a target that has fallen silent

Callers saw: a stream whose target falls silent midway goes on waiting for it until the caller leaves. Cause: a begun stream may only go on at its version, and the version was filled in only for requests that are queued, not for a stalled attempt that looks for a slot. Change: the version is found first. A begun answer is moved after 1.2 s of silence only. Test: stream_resumption, leaves_a_target_that_falls_silent_midway.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -24,6 +24,9 @@
 /// Interval at which a call with a stalled target looks for a free slot at
 /// another target.
 constexpr base::duration stall_recheck_interval = 100ms;
+/// A begun answer is moved only after a longer silence: its next target reads
+/// the prompt and all that was answered, which takes longer than most pauses.
+constexpr base::duration min_silence_of_begun = 1200ms;
 /// With less time left, another attempt would only occupy a slot.
 constexpr base::duration min_time_for_retry = 30ms;
 /// Larger answers that are not streamed are rejected.
@@ -647,48 +650,56 @@
     }
 }
 
-void call::on_stall_timeout()
+bool call::may_leave_target() const
 {
-    auto const self = shared_from_this();
-    if (state_ != state::running || !channel_)
-    {
-        return;
-    }
     auto progress = progress_;
     progress.may_have_run_ = true;
     auto const verdict = routing::decide_retry(attempt_failure::stalled,
                                                progress, *context_.route_);
-    if (verdict != retry_decision::retry ||
-        deadline_ - net::now() < min_time_for_retry)
+    return verdict == retry_decision::retry &&
+           deadline_ - net::now() >= min_time_for_retry;
+}
+
+void call::on_stall_timeout()
+{
+    auto const self = shared_from_this();
+    if (state_ != state::running || !channel_ || !may_leave_target() ||
+        move_to_relay())
     {
         return;
     }
-    if (move_to_relay())
+    auto const is_pausing =
+        attempt_event_count_ > 0 &&
+        net::now() - attempt_last_event_at_ < min_silence_of_begun;
+    if (is_pausing || !move("Attempt moved from a stalled target."))
     {
-        return;
+        stall_timer_.set_after(stall_recheck_interval);
     }
-    if (!can_move())
+}
+
+// The target may still answer, so the attempt is given up only if another
+// target has a free slot now.
+bool call::move(std::string_view message)
+{
+    if (!can_move() || (is_bound() && !find_version()))
     {
-        stall_timer_.set_after(stall_recheck_interval);
-        return;
+        return false;
     }
-    // The target may still answer, so the attempt is abandoned only if another
-    // target has a free slot now.
     auto const next = make_item();
     auto const* const slot = delegate_.find_free_slot(next);
     if (slot == nullptr || !delegate_.take_retry(context_.pool_))
     {
-        stall_timer_.set_after(stall_recheck_interval);
-        return;
+        return false;
     }
-    delegate_.log().write(
-        log_category::attempt,
-        log_line{"Attempt moved from a stalled target."}
-            .with("request", context_.metadata_.request_id_)
-            .with("target", target_.id_.str())
-            .with("next", slot->id_.str())
-            .with_ms("sent_ms", net::now() - attempt_sent_at_),
-        net::now());
+    auto const now = net::now();
+    delegate_.log().write(log_category::attempt,
+                          log_line{std::string{message}}
+                              .with("request", context_.metadata_.request_id_)
+                              .with("target", target_.id_.str())
+                              .with("next", slot->id_.str())
+                              .with("events", attempt_event_count_)
+                              .with_ms("sent_ms", now - attempt_sent_at_),
+                          now);
     auto const chosen = *slot;
     channel_->close();
     channel_.reset();
@@ -698,6 +709,7 @@
     ++moves_;
     state_ = state::waiting;
     on_grant(chosen);
+    return true;
 }
 
 void call::end_attempt(attempt_outcome end)
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -231,6 +231,11 @@
     void on_deadline();
     void on_stall_timeout();
     void arm_stall_timer();
+    /// Whether the attempt may be given up for one at another target.
+    bool may_leave_target() const;
+    /// Takes a slot of another target for this attempt, if there is one. False
+    /// if the attempt goes on where it is.
+    bool move(std::string_view message);
     void on_whole_answer();
     void finish_stream(net::answer_end end);
     void log_early_end(net::answer_end end) const;
--- a/tests/entry/stream_resumption_test.cpp
+++ b/tests/entry/stream_resumption_test.cpp
@@ -83,3 +83,27 @@
     CHECK(!answer.ends_with(stream_end));
     LONGS_EQUAL(3, rejections_);
 }
+
+TEST(stream_resumption, leaves_a_target_that_falls_silent_midway)
+{
+    auto const script = [](std::string const& r) -> std::vector<step>
+    {
+        if (header_value(r, "Last-Event-Id").empty())
+        {
+            return {{action::send, stream_head(r) + event_chunk(1)},
+                    {action::wait_for_peer, ""}};
+        }
+        return {{action::send, stream_head(r) + event_chunk(2) + stream_end}};
+    };
+    scripted_target const first{script};
+    scripted_target const second{script};
+    entry_.configure();
+    entry_.set_targets({&first, &second});
+    raw_caller caller{entry_.callers()};
+    caller.send(
+        entry_fixture::request("/stream/", "", "Connection: close\r\n"));
+    auto const answer = caller.read_to_end();
+    CHECK(answer.find("id: 2\n") != std::string::npos);
+    CHECK(answer.ends_with(stream_end));
+    entry_.set_targets({});
+}
