Long answers leave targets at which they would miss their deadline

Cause: half of the model targets take 17 to 26 ms for an event and half 52 to 80 ms, nobody knows how long an answer will be, and an answer stays where it begins. Of begun answers of 80 events and more 0.90 are complete at the fastest quarter of the targets and 0.54 at the slower half. Ruled out by logs: quotas (53 refusals), broken and stalled streams, give-ups for want of a slot (1); by a trial: slots seen late.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -1,6 +1,7 @@
 #include "src/entry/call.hpp"
 
 #include "src/entry/relay_fields.hpp"
+#include "src/routing/answer_pace.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -27,6 +28,8 @@
 /// A begun answer is moved only after a longer silence: its next target reads
 /// the prompt and all that was answered, which takes longer than most pauses.
 constexpr base::duration min_silence_of_begun = 1200ms;
+/// Events between two looks at the pace of the target.
+constexpr int events_per_pace_check = 8;
 /// With less time left, another attempt would only occupy a slot.
 constexpr base::duration min_time_for_retry = 30ms;
 /// Larger answers that are not streamed are rejected.
@@ -334,6 +337,7 @@
     event_splitter_ = {};
     drop_answer_body();
     is_streamed_ = false;
+    is_caller_slow_ = false;
     auto const request = is_at_relay_ ? relayed_request() : own_request();
     caller_->on_drained(
         [this]
@@ -481,8 +485,10 @@
     arm_stall_timer();
     if (caller_->is_send_buffer_full())
     {
+        is_caller_slow_ = true;
         channel_->pause(true);
     }
+    leave_slow_target();
 }
 
 void call::on_event_sent(base::time_point now)
@@ -671,21 +677,41 @@
     auto const is_pausing =
         attempt_event_count_ > 0 &&
         net::now() - attempt_last_event_at_ < min_silence_of_begun;
-    if (is_pausing || !move("Attempt moved from a stalled target."))
+    if (is_pausing ||
+        !move(std::nullopt, "Attempt moved from a stalled target."))
     {
         stall_timer_.set_after(stall_recheck_interval);
     }
 }
 
+void call::leave_slow_target()
+{
+    if (is_at_relay_ || is_caller_slow_ ||
+        attempt_event_count_ % events_per_pace_check != 0)
+    {
+        return;
+    }
+    auto const limit = routing::max_event_time_elsewhere(
+        {events_sent_, attempt_event_count_,
+         attempt_last_event_at_ - attempt_first_event_at_,
+         deadline_ - attempt_last_event_at_});
+    if (limit && may_leave_target())
+    {
+        move(limit, "Attempt moved from a slow target.");
+    }
+}
+
 // The target may still answer, so the attempt is given up only if another
 // target has a free slot now.
-bool call::move(std::string_view message)
+bool call::move(std::optional<base::duration> max_event_time,
+                std::string_view message)
 {
     if (!can_move() || (is_bound() && !find_version()))
     {
         return false;
     }
-    auto const next = make_item();
+    auto next = make_item();
+    next.max_event_time_ = max_event_time;
     auto const* const slot = delegate_.find_free_slot(next);
     if (slot == nullptr || !delegate_.take_retry(context_.pool_))
     {
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -231,11 +231,14 @@
     void on_deadline();
     void on_stall_timeout();
     void arm_stall_timer();
+    /// Moves a long answer that would miss its deadline to a faster target.
+    void leave_slow_target();
     /// Whether the attempt may be given up for one at another target.
     bool may_leave_target() const;
     /// Takes a slot of another target for this attempt, if there is one. False
     /// if the attempt goes on where it is.
-    bool move(std::string_view message);
+    bool move(std::optional<base::duration> max_event_time,
+              std::string_view message);
     void on_whole_answer();
     void finish_stream(net::answer_end end);
     void log_early_end(net::answer_end end) const;
@@ -313,6 +316,8 @@
     /// Attempts that the relay may make.
     int relayed_attempts_ = 0;
     bool is_streamed_ = false;
+    /// The caller has not taken events of this attempt as fast as they came.
+    bool is_caller_slow_ = false;
     routing::event_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_;
     /// The version that began the stream.
--- a/src/routing/pending_call.hpp
+++ b/src/routing/pending_call.hpp
@@ -33,6 +33,8 @@
     /// Only targets of this version may run the request, since it goes on with
     /// a stream of theirs.
     std::optional<version_digest> version_;
+    /// Only targets known to take no longer for one event may run the request.
+    std::optional<base::duration> max_event_time_;
 };
 
 /// How an attempt at a target ended.
--- a/src/routing/target_selector.cpp
+++ b/src/routing/target_selector.cpp
@@ -37,6 +37,13 @@
 /// Weight of the newest request in the mean number of tokens.
 constexpr double tokens_gain = 0.05;
 
+bool is_fast_enough(dispatch_target const& t, pending_call const& call)
+{
+    return !call.max_event_time_ || (t.service_time_.is_known() &&
+                                     t.service_time_.seconds_per_unit(0) <=
+                                         base::seconds(*call.max_event_time_));
+}
+
 int extra_slots(pending_call const& call)
 {
     return call.urgent_ || call.answer_started_ ? urgent_extra_slots : 0;
@@ -264,7 +271,7 @@
                                pending_call const& call, scope where,
                                base::time_point now) const
 {
-    return !was_tried(call, t) &&
+    return !was_tried(call, t) && is_fast_enough(t, call) &&
            (where == scope::all || limit_of(t) != nullptr) &&
            free_slots(t, peer_requests, extra_slots(call), now) > 0 &&
            has_kv_capacity(t, peer_requests, call);
