A stream stays at its target while its caller reads slowly

Cause: since begun streams leave silent targets, a target from which nothing is read, because the caller has not taken what came before, would count as silent and the stream would be moved away from it. Change: silence counts from the last event or from when the caller caught up, and not while the send buffer is full. A call without a connection is not looked at for its pace. Test: stream_resumption, stays_at_its_target_while_the_caller_reads_slowly.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -344,6 +344,7 @@
         {
             if (channel_)
             {
+                reading_since_ = net::now();
                 channel_->pause(false);
             }
         });
@@ -656,6 +657,15 @@
     }
 }
 
+// While the caller reads slowly, nothing is read from the target.
+bool call::is_silent() const
+{
+    auto const last = std::max(attempt_last_event_at_, reading_since_);
+    return attempt_event_count_ == 0 ||
+           (!caller_->is_send_buffer_full() &&
+            net::now() - last >= min_silence_of_begun);
+}
+
 bool call::may_leave_target() const
 {
     auto progress = progress_;
@@ -674,10 +684,7 @@
     {
         return;
     }
-    auto const is_pausing =
-        attempt_event_count_ > 0 &&
-        net::now() - attempt_last_event_at_ < min_silence_of_begun;
-    if (is_pausing ||
+    if (!is_silent() ||
         !move(std::nullopt, "Attempt moved from a stalled target."))
     {
         stall_timer_.set_after(stall_recheck_interval);
@@ -686,7 +693,7 @@
 
 void call::leave_slow_target()
 {
-    if (is_at_relay_ || is_caller_slow_ ||
+    if (is_at_relay_ || is_caller_slow_ || !channel_ ||
         attempt_event_count_ % events_per_pace_check != 0)
     {
         return;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -195,7 +195,7 @@
     base::duration longest_gap() const { return longest_gap_; }
     /// Time spent in the queue of this daemon, over all attempts.
     base::duration queued() const { return queued_; }
-    /// Attempts that were moved away from a stalled target.
+    /// Attempts that were moved away from a stalled or a slow target.
     int moves() const { return moves_; }
     int status() const { return status_; }
 
@@ -233,6 +233,8 @@
     void arm_stall_timer();
     /// Moves a long answer that would miss its deadline to a faster target.
     void leave_slow_target();
+    /// Whether a stalled attempt has waited long enough to be moved.
+    bool is_silent() const;
     /// Whether the attempt may be given up for one at another target.
     bool may_leave_target() const;
     /// Takes a slot of another target for this attempt, if there is one. False
@@ -318,6 +320,8 @@
     bool is_streamed_ = false;
     /// The caller has not taken events of this attempt as fast as they came.
     bool is_caller_slow_ = false;
+    /// When the caller last caught up.
+    base::time_point reading_since_ = base::time_point::min();
     routing::event_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_;
     /// The version that began the stream.
--- a/src/routing/answer_pace.hpp
+++ b/src/routing/answer_pace.hpp
@@ -10,7 +10,7 @@
 /// How far an answer has come that is streamed to its caller.
 struct answer_progress
 {
-    /// Events of the whole answer that the caller has.
+    /// Events that the caller got in this answer, over all attempts.
     int events_ = 0;
     /// Events of the current attempt, and the time from the first to the last.
     int attempt_events_ = 0;
--- a/tests/entry/stream_resumption_test.cpp
+++ b/tests/entry/stream_resumption_test.cpp
@@ -2,10 +2,14 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <atomic>
+#include <cstdio>
+#include <thread>
 
 using namespace tanagerlead;
 using namespace tanagerlead::test;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -107,3 +111,33 @@
     CHECK(answer.ends_with(stream_end));
     entry_.set_targets({});
 }
+
+TEST(stream_resumption, stays_at_its_target_while_the_caller_reads_slowly)
+{
+    // More than the buffers of all connections on the way hold.
+    std::string many;
+    for (int i = 1; i <= 1000; ++i)
+    {
+        auto const event = "id: " + std::to_string(i) +
+                           "\ndata: " + std::string(16000, 'x') + "\n\n";
+        std::array<char, 16> size{};
+        (void)std::snprintf(size.data(), size.size(), "%zx", event.size());
+        many += std::string{size.data()} + "\r\n" + event + "\r\n";
+    }
+    auto const script = [&](std::string const& r) -> std::vector<step>
+    {
+        return {{action::send, stream_head(r) + many + stream_end}};
+    };
+    scripted_target const first{script};
+    scripted_target const second{script};
+    entry_.configure(15s);
+    entry_.set_targets({&first, &second});
+    raw_caller caller{entry_.callers()};
+    caller.send(
+        entry_fixture::request("/stream/", "", "Connection: close\r\n"));
+    caller.read_until("id: 1\n");
+    std::this_thread::sleep_for(3s);
+    CHECK(caller.read_to_end().ends_with(stream_end));
+    LONGS_EQUAL(1, first.requests().size() + second.requests().size());
+    entry_.set_targets({});
+}
