Begun streams stay where they are while the daemon shuts down

Callers saw: a stream at a daemon that was told to stop was cut 1.8 s after it had left its target. Cause: it was moved, and no other target took it up; nothing reached one. That its version could not be proved there is suspected from the time, not shown. Change: a daemon that shuts down or whose registry is not settled moves no begun stream.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -713,7 +713,8 @@
 bool call::move(std::optional<base::duration> max_event_time,
                 std::string_view message)
 {
-    if (!can_move() || (is_bound() && !find_version()))
+    if (!can_move() ||
+        (is_bound() && (!delegate_.may_move_streams() || !find_version())))
     {
         return false;
     }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -70,6 +70,10 @@
     virtual void on_broken(call& running, base::target_id const& target) = 0;
     virtual routing::pool_latency& latency(base::pool_id const& pool) = 0;
     virtual bool take_retry(base::pool_id const& pool) = 0;
+    /// Whether a begun stream may leave a target that still holds it. False
+    /// while this daemon shuts down, or the version of another target could not
+    /// be proved.
+    virtual bool may_move_streams() const = 0;
     virtual base::duration retry_after(call const& refused) = 0;
 
     /// Passes to `call::on_origin` the version that began the stream which the
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -578,6 +578,11 @@
     return retry_budget_.try_take(pool, now);
 }
 
+bool data_plane::may_move_streams() const
+{
+    return !shutdown_.has_begun() && target_versions_.is_settled(net::now());
+}
+
 base::duration data_plane::retry_after(call const& refused)
 {
     return dispatcher_.retry_after(refused.context().pool_,
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -145,6 +145,7 @@
                                         base::time_point connected_at) override;
     routing::pool_latency& latency(base::pool_id const& pool) override;
     bool take_retry(base::pool_id const& pool) override;
+    bool may_move_streams() const override;
     base::duration retry_after(call const& refused) override;
     std::optional<routing::target_info>
     find_relay(base::pool_id const& pool,
--- a/tests/entry/stream_resumption_test.cpp
+++ b/tests/entry/stream_resumption_test.cpp
@@ -141,3 +141,26 @@
     LONGS_EQUAL(1, first.requests().size() + second.requests().size());
     entry_.set_targets({});
 }
+
+TEST(stream_resumption, stays_at_its_target_while_the_daemon_shuts_down)
+{
+    auto const script = [](std::string const& r) -> std::vector<step>
+    {
+        return {{action::send, stream_head(r) + event_chunk(1)},
+                {action::fall_silent, ""},
+                {action::fall_silent, ""},
+                {action::send, event_chunk(2) + stream_end}};
+    };
+    scripted_target const first{script};
+    scripted_target const second{script};
+    entry_.configure();
+    entry_.set_targets({&first, &second});
+    raw_caller caller{entry_.callers()};
+    caller.send(
+        entry_fixture::request("/stream/", "", "Connection: close\r\n"));
+    caller.read_until("id: 1\n");
+    entry_.on_loop([this] { entry_.daemon().shut_down([] {}); });
+    CHECK(caller.read_to_end().ends_with(stream_end));
+    LONGS_EQUAL(1, first.requests().size() + second.requests().size());
+    entry_.set_targets({});
+}
