--- a/tests/entry/stream_resumption_test.cpp
+++ b/tests/entry/stream_resumption_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <cstdio>
+#include <functional>
 #include <thread>
 
 using namespace tanagerlead;
@@ -31,6 +32,29 @@
 {
     entry_fixture entry_;
     std::atomic<int> rejections_{0};
+    /// Requests that the targets of `stream_from_two` got.
+    std::size_t requests_ = 0;
+
+    /// What a caller gets of two targets that answer from `script`, if it reads
+    /// on only after `meanwhile`, which follows the first event.
+    std::string stream_from_two(scripted_target::script const& script,
+                                base::duration timeout,
+                                std::function<void()> const& meanwhile)
+    {
+        scripted_target const first{script};
+        scripted_target const second{script};
+        entry_.configure(timeout);
+        entry_.set_targets({&first, &second});
+        raw_caller caller{entry_.callers()};
+        caller.send(
+            entry_fixture::request("/stream/", "", "Connection: close\r\n"));
+        caller.read_until("id: 1\n");
+        meanwhile();
+        auto answer = caller.read_to_end();
+        requests_ = first.requests().size() + second.requests().size();
+        entry_.set_targets({});
+        return answer;
+    }
 
     /// A stream breaks off after its first event, and `count` targets reject
     /// its resumption with `status`. Returns what the caller gets.
@@ -99,17 +123,9 @@
         }
         return {{action::send, stream_head(r) + event_chunk(2) + stream_end}};
     };
-    scripted_target const first{script};
-    scripted_target const second{script};
-    entry_.configure();
-    entry_.set_targets({&first, &second});
-    raw_caller caller{entry_.callers()};
-    caller.send(
-        entry_fixture::request("/stream/", "", "Connection: close\r\n"));
-    auto const answer = caller.read_to_end();
+    auto const answer = stream_from_two(script, 5s, [] {});
     CHECK(answer.find("id: 2\n") != std::string::npos);
     CHECK(answer.ends_with(stream_end));
-    entry_.set_targets({});
 }
 
 TEST(stream_resumption, stays_at_its_target_while_the_caller_reads_slowly)
@@ -128,18 +144,10 @@
     {
         return {{action::send, stream_head(r) + many + stream_end}};
     };
-    scripted_target const first{script};
-    scripted_target const second{script};
-    entry_.configure(15s);
-    entry_.set_targets({&first, &second});
-    raw_caller caller{entry_.callers()};
-    caller.send(
-        entry_fixture::request("/stream/", "", "Connection: close\r\n"));
-    caller.read_until("id: 1\n");
-    std::this_thread::sleep_for(3s);
-    CHECK(caller.read_to_end().ends_with(stream_end));
-    LONGS_EQUAL(1, first.requests().size() + second.requests().size());
-    entry_.set_targets({});
+    auto const answer =
+        stream_from_two(script, 15s, [] { std::this_thread::sleep_for(3s); });
+    CHECK(answer.ends_with(stream_end));
+    LONGS_EQUAL(1, requests_);
 }
 
 TEST(stream_resumption, stays_at_its_target_while_the_daemon_shuts_down)
@@ -151,16 +159,10 @@
                 {action::fall_silent, ""},
                 {action::send, event_chunk(2) + stream_end}};
     };
-    scripted_target const first{script};
-    scripted_target const second{script};
-    entry_.configure();
-    entry_.set_targets({&first, &second});
-    raw_caller caller{entry_.callers()};
-    caller.send(
-        entry_fixture::request("/stream/", "", "Connection: close\r\n"));
-    caller.read_until("id: 1\n");
-    entry_.on_loop([this] { entry_.daemon().shut_down([] {}); });
-    CHECK(caller.read_to_end().ends_with(stream_end));
-    LONGS_EQUAL(1, first.requests().size() + second.requests().size());
-    entry_.set_targets({});
+    auto const answer = stream_from_two(
+        script, 5s,
+        [this]
+        { entry_.on_loop([this] { entry_.daemon().shut_down([] {}); }); });
+    CHECK(answer.ends_with(stream_end));
+    LONGS_EQUAL(1, requests_);
 }
