Review case 4: no stream goes on after the loss of all daemons

Cause: with one software version in a pool, the origins of streams are kept in the memory of daemons only.

--- a/review/build.sh
+++ b/review/build.sh
@@ -16,7 +16,7 @@
 }
 
 parts=()
-for part in wire store fleet caller; do
+for part in wire store fleet caller bystanders; do
     g++ "${flags[@]}" -c "review/standins/$part.cpp" -o "$out/$part.o" &
     started+=($!)
     parts+=("$out/$part.o")
--- a/review/standins/caller.cpp
+++ b/review/standins/caller.cpp
@@ -1,5 +1,7 @@
 #include "caller.hpp"
 
+#include <algorithm>
+
 namespace review
 {
 
@@ -76,7 +78,7 @@
                           (last_event > 0 ? " resumes " + resumes + " after " +
                                                 std::to_string(last_event)
                                           : std::string{}));
-    auto const until = steady::now() + limit + 500ms;
+    auto const until = std::min(steady::now() + limit + 500ms, leave_at_);
     if (kept_->send(request.head_text("Content-Length: " +
                                       std::to_string(body.size()))) &&
         kept_->send(body))
--- a/review/standins/caller.hpp
+++ b/review/standins/caller.hpp
@@ -35,6 +35,8 @@
                  int last_event = 0);
     /// The next request uses a new connection.
     void leave() { kept_.reset(); }
+    /// It closes its connection at this time, in the middle of an answer.
+    void leave_at(steady::time_point when) { leave_at_ = when; }
     std::string const& last_id() const { return id_; }
     /// The last request was sent on a connection that had served others.
     bool was_kept() const { return was_kept_; }
@@ -57,6 +59,7 @@
     std::unique_ptr<connection> kept_;
     bool has_served_ = false;
     bool was_kept_ = false;
+    steady::time_point leave_at_ = steady::time_point::max();
 };
 
 } // namespace review
--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -69,6 +70,8 @@
     id_ = ::fork();
     if (id_ == 0)
     {
+        // No process is left if this one is ended.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         auto const out =
             ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, STDOUT_FILENO);
--- a/review/standins/runner.cpp
+++ b/review/standins/runner.cpp
@@ -183,11 +183,16 @@
         note_run(request,
                  " body bytes " + std::to_string(request.body_.size()));
         std::this_thread::sleep_for(plain_work);
+        // `/report/BYTES/...` has a longer answer.
+        auto const path = request.word(1);
+        auto const bytes = path.starts_with("/report/")
+                               ? std::stoul(path.substr(8))
+                               : plain_bytes;
         auto head = answer_head(request, 200);
         head.add("Tanagerlead-Server-Signature", "s." + option("id"));
         return with.send(
-            head.head_text("Content-Length: " + std::to_string(plain_bytes)) +
-            std::string(plain_bytes, 'x'));
+            head.head_text("Content-Length: " + std::to_string(bytes)) +
+            std::string(bytes, 'x'));
     }
 
     /// The path is `/draft/EVENTS/MILLISECONDS/...`.
--- a/review/standins/wire.cpp
+++ b/review/standins/wire.cpp
@@ -126,12 +126,17 @@
     ::close(descriptor_);
 }
 
-std::unique_ptr<connection> connection::open(address const& to,
-                                             milliseconds timeout)
+std::unique_ptr<connection>
+connection::open(address const& to, milliseconds timeout, int receive_buffer)
 {
     auto const made =
         ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     auto out = std::make_unique<connection>(made);
+    if (receive_buffer > 0)
+    {
+        ::setsockopt(made, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                     sizeof receive_buffer);
+    }
     auto const at = to_socket_address(to);
     if (::connect(made, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0)
     {
--- a/review/standins/wire.hpp
+++ b/review/standins/wire.hpp
@@ -62,9 +62,10 @@
     connection(connection const&) = delete;
     connection& operator=(connection const&) = delete;
 
-    /// Null if it cannot be opened in time.
-    static std::unique_ptr<connection> open(address const& to,
-                                            milliseconds timeout);
+    /// Null if it cannot be opened in time. `receive_buffer` bounds what is
+    /// received and not yet read; 0: as the system likes.
+    static std::unique_ptr<connection>
+    open(address const& to, milliseconds timeout, int receive_buffer = 0);
 
     bool send(std::string_view bytes);
     /// Waits for at least one more byte.
