Streams go on after the loss of all daemons that knew them

Cause: the version that began a stream was written to the store only while a pool had two versions. With one version it was in the memory of the daemons only, and a daemon that has just started cannot know that there was no other. Ruled out: a late reading (with two versions all streams go on), an unproved version (the streams were up to 5 s old).

Change: before the first stream of a route begins at a version, a daemon writes host, prefix and version to its own item in the store, under a lease that outlives it for longer than streams are taken up. A stream that no daemon knows is inferred to have begun at the only version that these items name for its path, if the version serves its pool alone in a settled registry. Any other candidate, an item of an earlier era of the store, or an unsettled registry leaves the refusal as it was. Origins of single streams are kept for split and moved routes as well, where the items name several versions.

--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -243,7 +243,7 @@
         send();
         return;
     }
-    is_bound() ? on_bound_channel_open() : send_if_permitted();
+    is_bound() ? on_bound_channel_open() : begin_stream();
 }
 
 void call::send_if_permitted()
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -79,6 +79,10 @@
     /// Passes to `call::on_origin` the version that began the stream which the
     /// caller takes up, at once or later.
     virtual void find_origin(call& resumed) = 0;
+    /// Asked before a stream is sent to its target. False if the request has to
+    /// wait a moment, so that the stream can be taken up after the loss of all
+    /// daemons.
+    virtual bool may_begin_stream(call const& ready) = 0;
     /// The first event of the caller's stream has come over a connection that
     /// was opened at `connected_at`.
     virtual void on_stream_begun(call const& running,
@@ -220,6 +224,8 @@
     routing::pending_call make_item() const;
     void on_channel_open(std::shared_ptr<net::channel> opened,
                          net::error_code const& error);
+    /// Sends a stream that begins once its start may be known to be kept.
+    void begin_stream();
     void send_if_permitted();
     void send();
     /// Ends an attempt before the request is sent; the connection may be used
--- a/src/entry/call_versions.cpp
+++ b/src/entry/call_versions.cpp
@@ -15,6 +15,8 @@
 constexpr base::duration max_stream_pause = 1800ms;
 /// While the registry is lost, nobody knows when it will be read again.
 constexpr base::duration settle_recheck_interval = 100ms;
+/// A write to the store takes some milliseconds.
+constexpr base::duration start_recheck_interval = 4ms;
 
 } // namespace
 
@@ -59,6 +61,17 @@
     return version_ != routing::unknown_version;
 }
 
+void call::begin_stream()
+{
+    auto const can_be_resumed = is_stream() && context_.route_->resumable_;
+    if (can_be_resumed && !delegate_.may_begin_stream(*this))
+    {
+        settle_timer_.set_after(start_recheck_interval);
+        return;
+    }
+    send_if_permitted();
+}
+
 void call::on_bound_channel_open()
 {
     settle_by_ = net::now() + max_stream_pause;
@@ -90,6 +103,8 @@
     auto const now = net::now();
     if (!known_from)
     {
+        // The stream may have to be taken up again after it has gone on here.
+        delegate_.may_begin_stream(*this);
         send_if_permitted();
     }
     else if (now < settle_by_)
@@ -129,7 +144,12 @@
     auto const self = shared_from_this();
     if (state_ == state::connecting && channel_)
     {
-        channel_->is_reusable() ? send_to_version() : try_next_target();
+        if (!channel_->is_reusable())
+        {
+            try_next_target();
+            return;
+        }
+        is_bound() ? send_to_version() : begin_stream();
     }
 }
 
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -58,6 +58,12 @@
                     std::move(outputs.daemons_)},
       origins_{store, s.daemon_.str(), base::entropy(),
                std::move(outputs.origins_)},
+      starts_{loop,
+              store,
+              era_,
+              s.daemon_.str(),
+              base::entropy(),
+              std::move(outputs.starts_)},
       report_restoration_{std::move(outputs.store_restored_)},
       era_{[this](store_era fresh)
            {
@@ -90,6 +96,7 @@
     calls_.give_up_calls();
     registration_.on_new_era();
     origins_.on_new_era();
+    starts_.on_new_era();
     report_restoration_();
 }
 
--- a/src/entry/control_plane.hpp
+++ b/src/entry/control_plane.hpp
@@ -6,6 +6,7 @@
 #include "src/entry/registry_reader.hpp"
 #include "src/entry/settings.hpp"
 #include "src/entry/store_era_tracker.hpp"
+#include "src/entry/stream_start_store.hpp"
 #include "src/net/http_client.hpp"
 #include "src/net/http_listener.hpp"
 
@@ -44,6 +45,11 @@
     /// Called with origins of streams that were read from the store.
     origin_store::read_callback origins_ = [](routing::stream_message const&) {
     };
+    /// Called when the starts of this daemon's streams are in the store, and
+    /// with those of all daemons.
+    stream_start_store::outputs starts_{[](routing::stream_starts::revision) {},
+                                        [](kept_stream_starts const&) {
+                                        }};
 };
 
 /// Maintains the configuration, the target registry and the list of daemons.
@@ -71,6 +77,12 @@
         origins_.write(std::move(message));
     }
     void read_origins() { origins_.read(); }
+    /// Keeps the starts of this daemon's streams in the store.
+    void write_starts(routing::stream_starts::update update)
+    {
+        starts_.write(std::move(update));
+    }
+    void read_starts() { starts_.read(); }
     /// Reads the registry entry of one target as it is now.
     void read_entry(base::target_id const& target);
     /// Place of this daemon among those that hear each other.
@@ -98,6 +110,7 @@
     store_watcher registry_watcher_;
     daemon_registration registration_;
     origin_store origins_;
+    stream_start_store starts_;
     std::function<void()> report_restoration_;
     store_era_tracker era_;
     net::http_client peers_;
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -87,8 +87,10 @@
                },
                [this](routing::target_info const& target,
                       base::time_point connected_at)
+               { prove_version(target, connected_at); },
+               [this]
                {
-                   prove_version(target, connected_at);
+                   return target_versions_.is_settled(net::now());
                }},
       daemon_directory_{settings_, protocol_, peers_.board()},
       callers_{
@@ -236,7 +238,9 @@
 
 void data_plane::find_origin(call& resumed)
 {
-    origins_.find(resumed.context().metadata_.resumed_attempt_,
+    auto const& context = resumed.context();
+    origins_.find({context.metadata_.resumed_attempt_, context.route_->host_,
+                   context.request_.target_},
                   [waiting = resumed.weak_from_this()](
                       std::optional<routing::version_digest> version)
                   {
@@ -247,6 +251,15 @@
                   });
 }
 
+bool data_plane::may_begin_stream(call const& ready)
+{
+    auto const& route = *ready.context().route_;
+    auto const& target = ready.target_record();
+    auto const version = routing::digest_of(target.pool_, target.version_);
+    return version == routing::unknown_version ||
+           origins_.may_begin({route.host_, route.prefix_, version});
+}
+
 void data_plane::on_daemons(std::vector<std::string> const& ips)
 {
     is_fleet_listed_ = true;
@@ -923,6 +936,10 @@
          static_cast<double>(origins_.counts().found_)},
         {"stream_origins_unknown_total",
          static_cast<double>(origins_.counts().unknown_)},
+        {"stream_origins_inferred_total",
+         static_cast<double>(origins_.counts().inferred_)},
+        {"stream_starts_late_total",
+         static_cast<double>(origins_.late_starts())},
         {"stream_origins_archived_total",
          static_cast<double>(origins_.counts().archived_)},
         {"registry_entry_readings_total",
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -57,6 +57,15 @@
         origins_.on_archived(message);
     }
 
+    void on_starts_kept(routing::stream_starts::revision written)
+    {
+        origins_.on_starts_kept(written);
+    }
+    void on_starts_read(kept_stream_starts const& found)
+    {
+        origins_.on_starts_read(found);
+    }
+
     /// Reads the registry entry of a target; `on_entry_read` follows unless
     /// the store does not answer.
     void
@@ -125,6 +134,7 @@
         crashes_.on_broken(running, target);
     }
     void find_origin(call& resumed) override;
+    bool may_begin_stream(call const& ready) override;
     void on_stream_begun(call const& running,
                          base::time_point connected_at) override
     {
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -85,7 +85,18 @@
                net::asio::post(data_plane_loop_,
                                [this, found = std::move(message)]
                                { data_plane_.on_archived_origins(found); });
-           }}},
+           },
+           {[this](routing::stream_starts::revision written)
+            {
+                net::asio::post(data_plane_loop_, [this, written]
+                                { data_plane_.on_starts_kept(written); });
+            },
+            [this](kept_stream_starts found)
+            {
+                net::asio::post(data_plane_loop_,
+                                [this, read = std::move(found)]
+                                { data_plane_.on_starts_read(read); });
+            }}}},
       signals_{data_plane_loop_, SIGTERM, SIGINT, SIGHUP},
       log_flush_timer_{data_plane_loop_, [this]
                        {
@@ -118,10 +129,21 @@
                                  control_plane_.write_origins(std::move(batch));
                              });
          },
+         [this] {
+             net::asio::post(control_loop_,
+                             [this] { control_plane_.read_origins(); });
+         },
+         [this](routing::stream_starts::update update)
+         {
+             net::asio::post(control_loop_,
+                             [this, starts = std::move(update)]() mutable {
+                                 control_plane_.write_starts(std::move(starts));
+                             });
+         },
          [this]
          {
              net::asio::post(control_loop_,
-                             [this] { control_plane_.read_origins(); });
+                             [this] { control_plane_.read_starts(); });
          }});
 }
 
--- a/src/entry/report_codec.cpp
+++ b/src/entry/report_codec.cpp
@@ -25,6 +25,7 @@
 {
     report = 0x544c52,
     stream_message = 0x544c53,
+    stream_starts = 0x544c54,
 };
 
 /// The layout that is written. Daemons of build 99d1b10 read no other one.
@@ -261,4 +262,40 @@
     }
 }
 
+std::string write_stream_starts(routing::store_era era,
+                                routing::stream_start_list& list)
+{
+    std::ostringstream out;
+    {
+        output archive{out};
+        archive(first_word(message_kind::stream_starts), era, list);
+    }
+    return std::move(out).str();
+}
+
+std::optional<routing::stream_start_list>
+read_stream_starts(routing::store_era era, std::string_view item)
+{
+    boost::interprocess::ibufferstream in{item.data(), item.size()};
+    try
+    {
+        input archive{in};
+        std::uint32_t word = 0;
+        routing::store_era written_in{};
+        archive(word, written_in);
+        if (layout_of(word, message_kind::stream_starts) == 0 ||
+            written_in != era)
+        {
+            return std::nullopt;
+        }
+        routing::stream_start_list list;
+        archive(list);
+        return list;
+    }
+    catch (cereal::Exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
 } // namespace tanagerlead::entry
--- a/src/entry/report_codec.hpp
+++ b/src/entry/report_codec.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "src/routing/peer_report.hpp"
+#include "src/routing/store_revision.hpp"
 #include "src/routing/stream_origin.hpp"
+#include "src/routing/stream_starts.hpp"
 
 #include <optional>
 #include <string>
@@ -30,4 +32,12 @@
 std::optional<routing::stream_message>
 read_stream_message(std::string_view datagram);
 
+/// Encodes what a daemon keeps in the store about the starts of its streams.
+/// `era`: of the store that it is written to.
+std::string write_stream_starts(routing::store_era era,
+                                routing::stream_start_list& list);
+/// Nothing if the item is damaged, or was not written in this era of the store.
+std::optional<routing::stream_start_list>
+read_stream_starts(routing::store_era era, std::string_view item);
+
 } // namespace tanagerlead::entry
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -28,12 +28,14 @@
 stream_origin_exchange::stream_origin_exchange(net::asio::io_context& loop,
                                                peer_exchange& peers,
                                                version_finder version_of,
-                                               version_prover prove)
-    : peers_{peers}, version_of_{std::move(version_of)},
-      prove_{std::move(prove)}, timer_{loop, [this]
-                                       {
-                                           advance();
-                                       }}
+                                               version_prover prove,
+                                               settled_finder is_settled)
+    : peers_{peers}, version_of_{std::move(version_of)}, prove_{std::move(
+                                                             prove)},
+      is_settled_{std::move(is_settled)}, timer_{loop, [this]
+                                                 {
+                                                     advance();
+                                                 }}
 {
 }
 
@@ -134,21 +136,32 @@
     }
 }
 
-void stream_origin_exchange::find(std::string const& attempt,
-                                  found_callback done)
+bool stream_origin_exchange::may_begin(routing::stream_start const& start)
 {
-    auto const digest = routing::digest_of_attempt(attempt);
+    if (starts_.may_begin(start, net::now()))
+    {
+        return true;
+    }
+    advance_starts();
+    set_timer();
+    return false;
+}
+
+void stream_origin_exchange::find(resumption const& stream, found_callback done)
+{
+    auto const digest = routing::digest_of_attempt(stream.attempt_);
     auto const known = origins_.find(digest);
-    if (known || attempt.empty())
+    if (known || stream.attempt_.empty())
     {
         count(known);
         done(known);
         return;
     }
-    pending_.emplace(digest, std::move(done));
-    origins_.ask(digest, net::now());
-    read_archive_at_ =
-        std::min(read_archive_at_, net::now() + archive_read_delay);
+    auto const now = net::now();
+    pending_.emplace(digest, pending_resumption{stream, now, std::move(done)});
+    origins_.ask(digest, now);
+    read_archive_at_ = std::min(read_archive_at_, now + archive_read_delay);
+    read_starts_at_ = std::min(read_starts_at_, now + archive_read_delay);
     advance();
 }
 
@@ -188,6 +201,55 @@
     answer_from(message);
 }
 
+// A stream can be inferred to have begun at a version if its route had no
+// other one anywhere, and neither had the version's pool. The items were asked
+// for after the stream had begun, so the start of its daemon is among them.
+void stream_origin_exchange::on_starts_read(kept_stream_starts const& found)
+{
+    std::map<routing::attempt_digest, routing::version_digest> inferred;
+    for (auto const& [attempt, waiting] : pending_)
+    {
+        auto const& stream = waiting.stream_;
+        auto const version =
+            routing::sole_version(found.starts_, stream.host_, stream.path_);
+        if (version && waiting.since_ <= found.asked_ && is_settled_() &&
+            archive_.serves_alone(*version, net::now()))
+        {
+            inferred.emplace(attempt, *version);
+        }
+    }
+    for (auto const& [attempt, version] : inferred)
+    {
+        counts_.inferred_ += pending_.count(attempt);
+        answer(attempt, version);
+    }
+    set_timer();
+}
+
+void stream_origin_exchange::advance_starts()
+{
+    auto const now = net::now();
+    if (auto update = starts_.take_due(now))
+    {
+        archive_.set_ambiguous(starts_.ambiguous(), now);
+        archive_callbacks_.write_starts_(std::move(*update));
+    }
+    if (now < read_starts_at_)
+    {
+        return;
+    }
+    read_starts_at_ = base::time_point::max();
+    if (pending_.empty())
+    {
+        return;
+    }
+    read_starts_at_ = now + archive_read_delay;
+    if (is_settled_())
+    {
+        archive_callbacks_.read_starts_();
+    }
+}
+
 void stream_origin_exchange::advance_archive()
 {
     auto const now = net::now();
@@ -214,7 +276,7 @@
     std::vector<found_callback> waiting;
     for (auto it = begin; it != end; ++it)
     {
-        waiting.push_back(std::move(it->second));
+        waiting.push_back(std::move(it->second.done_));
     }
     pending_.erase(begin, end);
     for (auto const& done : waiting)
@@ -236,6 +298,7 @@
 {
     resolve_due();
     advance_archive();
+    advance_starts();
     auto const due = origins_.take_due(net::now());
     for (auto const& message : due.copies_)
     {
@@ -256,8 +319,9 @@
 
 void stream_origin_exchange::set_timer()
 {
-    auto next = std::min(
-        {origins_.next_wakeup(), archive_.next_wakeup(), read_archive_at_});
+    auto next =
+        std::min({origins_.next_wakeup(), archive_.next_wakeup(),
+                  read_archive_at_, starts_.next_wakeup(), read_starts_at_});
     for (auto const& origin : unresolved_)
     {
         next = std::min(next, origin.due_);
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/entry/peer_exchange.hpp"
+#include "src/entry/stream_start_store.hpp"
 #include "src/routing/origin_archive.hpp"
 #include "src/routing/stream_origins.hpp"
 #include "src/routing/target_versions.hpp"
@@ -28,11 +29,29 @@
     using version_prover = std::function<void(
         routing::target_info const& target, base::time_point connected_at)>;
 
-    /// Calls that keep origins in the store and read those of all daemons.
+    /// Whether the registry's entries can be relied on now.
+    using settled_finder = std::function<bool()>;
+
+    /// Calls that keep origins, and starts of streams, in the store and read
+    /// those of all daemons.
     struct archive_callbacks
     {
         std::function<void(routing::stream_message)> write_;
         std::function<void()> read_;
+        std::function<void(routing::stream_starts::update)> write_starts_ =
+            [](routing::stream_starts::update const&) {
+            };
+        std::function<void()> read_starts_ = [] {
+        };
+    };
+
+    /// A stream that a caller takes up.
+    struct resumption
+    {
+        /// The attempt that brought its first event.
+        std::string attempt_;
+        std::string host_;
+        std::string path_;
     };
 
     /// What became of the streams that callers took up at this daemon, and how
@@ -41,12 +60,15 @@
     {
         std::uint64_t found_ = 0;
         std::uint64_t unknown_ = 0;
+        /// Of those found: no daemon knew the stream, but its route.
+        std::uint64_t inferred_ = 0;
         std::uint64_t archived_ = 0;
     };
 
     /// `peers` must outlive the exchange.
     stream_origin_exchange(net::asio::io_context& loop, peer_exchange& peers,
-                           version_finder version_of, version_prover prove);
+                           version_finder version_of, version_prover prove,
+                           settled_finder is_settled);
 
     void set_archive_callbacks(archive_callbacks callbacks)
     {
@@ -62,7 +84,14 @@
     void on_versions_proved();
     /// Origins were read from the store.
     void on_archived(routing::stream_message const& message);
+    void on_starts_kept(routing::stream_starts::revision written)
+    {
+        starts_.on_kept(written);
+    }
+    void on_starts_read(kept_stream_starts const& found);
 
+    /// A stream is about to begin; see `stream_starts::may_begin`.
+    bool may_begin(routing::stream_start const& start);
     /// The stream of this attempt of a caller has begun here, over a connection
     /// to `target` that was opened at `connected_at`.
     void on_begun(std::string const& attempt,
@@ -72,11 +101,14 @@
     void on_resumed(std::string const& attempt,
                     routing::version_digest version);
     /// Calls `done` once, at the latest after `answer_timeout`; with no value
-    /// if no daemon knows the attempt. May call it before it returns.
-    void find(std::string const& attempt, found_callback done);
+    /// if the version can neither be found nor inferred. May call it before it
+    /// returns.
+    void find(resumption const& stream, found_callback done);
     void on_message(routing::peer_ip from,
                     routing::stream_message const& message);
     origin_counts const& counts() const { return counts_; }
+    /// Starts of streams that could not be kept in time.
+    std::uint64_t late_starts() const { return starts_.late_count(); }
 
 private:
     /// A stream that began at a version which is not known yet.
@@ -90,6 +122,14 @@
         std::vector<routing::peer_ip> askers_;
     };
 
+    /// A stream whose version is wanted.
+    struct pending_resumption
+    {
+        resumption stream_;
+        base::time_point since_;
+        found_callback done_;
+    };
+
     void resolve(unresolved_origin origin);
     bool is_wanted(unresolved_origin const& origin) const;
     void note_askers(routing::peer_ip from,
@@ -102,20 +142,25 @@
     void answer_from(routing::stream_message const& message);
     void count(std::optional<routing::version_digest> version);
     void advance_archive();
+    void advance_starts();
 
     peer_exchange& peers_;
     version_finder version_of_;
     version_prover prove_;
+    settled_finder is_settled_;
     routing::stream_origins origins_;
     routing::origin_archive archive_;
+    routing::stream_starts starts_;
     archive_callbacks archive_callbacks_{[](routing::stream_message const&) {},
                                          [] {
                                          }};
     /// When the store is asked for origins that no daemon has told.
     base::time_point read_archive_at_ = base::time_point::max();
+    /// When the starts of streams are read next.
+    base::time_point read_starts_at_ = base::time_point::max();
     std::vector<unresolved_origin> unresolved_;
     origin_counts counts_;
-    std::multimap<routing::attempt_digest, found_callback> pending_;
+    std::multimap<routing::attempt_digest, pending_resumption> pending_;
     net::deadline_timer timer_;
 };
 
--- /dev/null
+++ b/src/entry/stream_start_store.cpp
@@ -0,0 +1,216 @@
+#include "src/entry/stream_start_store.hpp"
+
+#include "src/entry/report_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerlead::entry
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string const starts_prefix = "tanagerlead/starts/";
+constexpr base::duration renewal_interval = 15s;
+/// After the last renewal, the item is there for as long as the streams of a
+/// daemon that has died may be taken up.
+constexpr base::duration lease_time =
+    renewal_interval + routing::stream_starts::retention + 10s;
+
+} // namespace
+
+stream_start_store::stream_start_store(net::asio::io_context& loop,
+                                       metadata_store& store,
+                                       store_era_tracker const& era,
+                                       std::string const& daemon,
+                                       std::uint64_t incarnation, outputs out)
+    : store_{store}, era_{era}, key_{starts_prefix + daemon + "-" +
+                                     std::to_string(incarnation)},
+      out_{std::move(out)}, timer_{loop, [this]
+                                   {
+                                       advance();
+                                   }}
+{
+}
+
+void stream_start_store::write(routing::stream_starts::update update)
+{
+    update_ = std::move(update);
+    is_written_ = false;
+    advance();
+}
+
+void stream_start_store::advance()
+{
+    if (is_busy_ || !update_)
+    {
+        return;
+    }
+    if (!lease_)
+    {
+        grant();
+    }
+    else if (!is_written_)
+    {
+        put();
+    }
+    else if (net::now() >= renew_at_)
+    {
+        renew();
+    }
+    else
+    {
+        timer_.set(renew_at_);
+    }
+}
+
+void stream_start_store::grant()
+{
+    is_busy_ = true;
+    store_.grant_lease(
+        lease_time,
+        calls_.wrap(
+            [this, asked = net::now()](base::result<store_lease> const& granted)
+            {
+                is_busy_ = false;
+                if (!granted)
+                {
+                    fail(granted.error());
+                    return;
+                }
+                lease_ = granted.value();
+                renew_at_ = asked + renewal_interval;
+                advance();
+            }));
+}
+
+void stream_start_store::put()
+{
+    is_busy_ = true;
+    store_.put(key_, write_stream_starts(era_.current(), update_->list_),
+               *lease_,
+               calls_.wrap([this, written = update_->revision_](
+                               base::result<void> const& result)
+                           { on_put(written, result); }));
+}
+
+void stream_start_store::on_put(routing::stream_starts::revision written,
+                                base::result<void> const& result)
+{
+    is_busy_ = false;
+    if (!result)
+    {
+        fail(result.error());
+        return;
+    }
+    retry_pause_ = min_retry_pause;
+    is_written_ = written == update_->revision_;
+    out_.kept_(written);
+    advance();
+}
+
+void stream_start_store::renew()
+{
+    is_busy_ = true;
+    store_.renew_lease(*lease_, calls_.wrap(
+                                    [this, asked = net::now()](
+                                        base::result<void> const& renewed)
+                                    {
+                                        is_busy_ = false;
+                                        if (!renewed)
+                                        {
+                                            fail(renewed.error());
+                                            return;
+                                        }
+                                        renew_at_ = asked + renewal_interval;
+                                        advance();
+                                    }));
+}
+
+// The item vanishes with its lease.
+void stream_start_store::fail(base::error const& why)
+{
+    if (why.code_ == base::error_code::not_found)
+    {
+        lease_.reset();
+        is_written_ = false;
+    }
+    log_.write(log_category::control_plane,
+               log_line{"Cannot keep the starts of streams."}.with("reason",
+                                                                   why.str()),
+               net::now());
+    timer_.set_after(retry_pause_);
+    retry_pause_ = std::min(2 * retry_pause_, max_retry_pause);
+}
+
+// The items of daemons that have died since the copy was made show an earlier
+// state, or are missing. They are of an earlier era, so nothing is inferred
+// until their leases end.
+void stream_start_store::on_new_era()
+{
+    calls_.give_up_calls();
+    lease_.reset();
+    is_written_ = false;
+    is_busy_ = false;
+    reading_.reset();
+    advance();
+}
+
+void stream_start_store::read()
+{
+    if (!reading_)
+    {
+        reading_ = kept_stream_starts{net::now(), {}};
+        read_page({});
+    }
+}
+
+void stream_start_store::read_page(std::string const& after)
+{
+    store_.list(starts_prefix, after, false,
+                calls_.wrap([this](base::result<store_page> const& page)
+                            { on_page(page); }),
+                {});
+}
+
+void stream_start_store::on_page(base::result<store_page> const& page)
+{
+    if (!page)
+    {
+        reading_.reset();
+        log_.write(log_category::control_plane,
+                   log_line{"Cannot read the starts of streams."}.with(
+                       "reason", page.error().str()),
+                   net::now());
+        return;
+    }
+    auto const& items = page.value().items_;
+    for (auto const& item : items)
+    {
+        auto const list = read_stream_starts(era_.current(), item.value_);
+        if (!list)
+        {
+            reading_.reset();
+            log_.write(log_category::control_plane,
+                       log_line{"Starts of streams are unknown."}.with(
+                           "key", item.key_),
+                       net::now());
+            return;
+        }
+        auto& starts = reading_->starts_;
+        starts.insert(starts.end(), list->starts_.begin(), list->starts_.end());
+    }
+    if (page.value().has_more_ && !items.empty())
+    {
+        read_page(items.back().key_);
+        return;
+    }
+    auto found = std::move(*reading_);
+    reading_.reset();
+    out_.found_(std::move(found));
+}
+
+} // namespace tanagerlead::entry
--- /dev/null
+++ b/src/entry/stream_start_store.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "src/entry/callback_guard.hpp"
+#include "src/entry/metadata_store.hpp"
+#include "src/entry/rate_limited_log.hpp"
+#include "src/entry/store_era_tracker.hpp"
+#include "src/net/event_loop.hpp"
+#include "src/routing/stream_starts.hpp"
+
+#include <optional>
+
+namespace tanagerlead::entry
+{
+
+/// The starts of all daemons, as the store had them after a request for them.
+struct kept_stream_starts
+{
+    base::time_point asked_;
+    std::vector<routing::stream_start> starts_;
+};
+
+/// Keeps the starts of this daemon's streams in the store, and reads those of
+/// all daemons. The item outlives the daemon for as long as its streams may be
+/// taken up.
+class stream_start_store
+{
+public:
+    using kept_callback = std::function<void(routing::stream_starts::revision)>;
+    using read_callback = std::function<void(kept_stream_starts)>;
+
+    /// Receivers of what the store has answered.
+    struct outputs
+    {
+        kept_callback kept_;
+        read_callback found_;
+    };
+
+    /// `daemon` and `incarnation` name the item of this start of the daemon.
+    /// `store` and `era` must outlive the object.
+    stream_start_store(net::asio::io_context& loop, metadata_store& store,
+                       store_era_tracker const& era, std::string const& daemon,
+                       std::uint64_t incarnation, outputs out);
+
+    /// Replaces what is kept.
+    void write(routing::stream_starts::update update);
+    /// Reads all items, unless a reading is under way. No result follows if the
+    /// items are not complete or not of this era of the store.
+    void read();
+    void on_new_era();
+
+private:
+    /// Pause after a failed call, which doubles with each one.
+    static constexpr base::duration min_retry_pause =
+        std::chrono::milliseconds{200};
+    static constexpr base::duration max_retry_pause = std::chrono::seconds{2};
+
+    void advance();
+    void grant();
+    void renew();
+    void put();
+    void on_put(routing::stream_starts::revision written,
+                base::result<void> const& result);
+    void fail(base::error const& why);
+    void read_page(std::string const& after);
+    void on_page(base::result<store_page> const& page);
+
+    metadata_store& store_;
+    store_era_tracker const& era_;
+    std::string key_;
+    outputs out_;
+    rate_limited_log log_{"starts"};
+    std::optional<routing::stream_starts::update> update_;
+    std::optional<store_lease> lease_;
+    bool is_written_ = false;
+    bool is_busy_ = false;
+    base::time_point renew_at_ = base::time_point::max();
+    base::duration retry_pause_ = min_retry_pause;
+    std::optional<kept_stream_starts> reading_;
+    net::deadline_timer timer_;
+    callback_guard calls_;
+};
+
+} // namespace tanagerlead::entry
--- a/src/routing/origin_archive.cpp
+++ b/src/routing/origin_archive.cpp
@@ -35,9 +35,14 @@
                     interval_per_daemon * static_cast<int>(daemons_));
 }
 
+bool origin_archive::keeps(pool_record const& p, base::time_point now)
+{
+    return p.is_ambiguous_ || p.has_versions(now);
+}
+
 void origin_archive::schedule(pool_record const& p, base::time_point now)
 {
-    if (!p.unwritten_.empty() && p.has_versions(now))
+    if (!p.unwritten_.empty() && keeps(p, now))
     {
         write_at_ = std::min(write_at_, now + interval());
     }
@@ -57,6 +62,10 @@
     for (auto& [id, p] : pools_)
     {
         p.set_serving(std::move(serving[id]), now);
+    }
+    find_ambiguous();
+    for (auto const& [id, p] : pools_)
+    {
         schedule(p, now);
     }
     std::erase_if(pools_,
@@ -66,6 +75,30 @@
                   });
 }
 
+void origin_archive::find_ambiguous()
+{
+    for (auto& [id, p] : pools_)
+    {
+        p.is_ambiguous_ = std::any_of(
+            p.serving_.begin(), p.serving_.end(),
+            [&, &pool = id](auto const& version)
+            { return ambiguous_.contains(digest_of(pool, version)); });
+    }
+}
+
+// Streams that began just before another one of their route began at another
+// version are written as well.
+void origin_archive::set_ambiguous(std::set<version_digest> versions,
+                                   base::time_point now)
+{
+    ambiguous_ = std::move(versions);
+    find_ambiguous();
+    for (auto const& [id, p] : pools_)
+    {
+        schedule(p, now);
+    }
+}
+
 void origin_archive::on_begun(base::pool_id const& pool, stream_origin origin,
                               base::time_point now)
 {
@@ -87,7 +120,20 @@
                            base::time_point now) const
 {
     auto const found = pools_.find(pool);
-    return found != pools_.end() && found->second.has_versions(now);
+    return found != pools_.end() && keeps(found->second, now);
+}
+
+bool origin_archive::serves_alone(version_digest version,
+                                  base::time_point now) const
+{
+    return std::any_of(pools_.begin(), pools_.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& [id, p] = entry;
+                           return p.serving_.size() == 1 &&
+                                  !p.has_versions(now) &&
+                                  digest_of(id, *p.serving_.begin()) == version;
+                       });
 }
 
 std::vector<stream_message> origin_archive::take_due(base::time_point now)
@@ -100,7 +146,7 @@
     write_at_ = base::time_point::max();
     for (auto& [id, p] : pools_)
     {
-        if (!p.has_versions(now))
+        if (!keeps(p, now))
         {
             continue;
         }
--- a/src/routing/origin_archive.hpp
+++ b/src/routing/origin_archive.hpp
@@ -12,10 +12,10 @@
 {
 
 /// Decides which origins of streams are kept in the store, where they outlive
-/// all daemons, and when. Answers the load of a software release: while targets
-/// of two versions serve a pool, and shortly after, the version that began a
-/// stream cannot be inferred once the daemons that know it are gone. At other
-/// times nothing is kept.
+/// all daemons, and when. While targets of two versions serve a pool, or a
+/// route uses several pools, and shortly after, the version that began a stream
+/// cannot be inferred once the daemons that know it are gone. At other times
+/// `stream_starts` tell it, and nothing is kept here.
 ///
 /// The origins of a daemon are written in batches whose interval grows with the
 /// fleet, so all daemons together write at most every `interval_per_daemon`.
@@ -32,6 +32,8 @@
     /// The targets of all pools.
     void set_targets(std::vector<target_info> const& targets,
                      base::time_point now);
+    /// Versions that the starts of streams do not tell apart.
+    void set_ambiguous(std::set<version_digest> versions, base::time_point now);
     /// Daemons that begin streams, this one included.
     void set_fleet_size(std::size_t daemons) { daemons_ = daemons; }
     /// A stream of this daemon began in `pool`, or goes on here.
@@ -39,6 +41,9 @@
                   base::time_point now);
     /// Whether origins of streams in this pool are kept in the store now.
     bool keeps(base::pool_id const& pool, base::time_point now) const;
+    /// Whether all streams of the version's pool that may still be taken up
+    /// began at this version, as far as this daemon has seen.
+    bool serves_alone(version_digest version, base::time_point now) const;
     /// What is to be written now.
     std::vector<stream_message> take_due(base::time_point now);
     base::time_point next_wakeup() const { return write_at_; }
@@ -52,17 +57,23 @@
         std::map<base::software_version, base::time_point> left_;
         /// Own origins that are not written yet, oldest first.
         std::deque<std::pair<base::time_point, stream_origin>> unwritten_;
+        /// A version of the pool is ambiguous.
+        bool is_ambiguous_ = false;
 
         void set_serving(std::set<base::software_version> versions,
                          base::time_point now);
         bool has_versions(base::time_point now) const;
     };
 
+    /// Whether origins of the pool are kept.
+    static bool keeps(pool_record const& p, base::time_point now);
+    void find_ambiguous();
     void schedule(pool_record const& p, base::time_point now);
     base::duration interval() const;
 
     std::size_t daemons_ = 1;
     std::map<base::pool_id, pool_record> pools_;
+    std::set<version_digest> ambiguous_;
     base::time_point write_at_ = base::time_point::max();
 };
 
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -83,6 +83,18 @@
                         net::asio::post(loop_, [this, target, now = net::now()]
                                         { answer_reading(target, now); });
                     });
+                data_plane_.set_origin_archive(
+                    {[](routing::stream_message const&) {}, [] {},
+                     [this](routing::stream_starts::update const& update)
+                     {
+                         own_starts_ = update.list_.starts_;
+                         data_plane_.on_starts_kept(update.revision_);
+                     },
+                     [this]
+                     {
+                         net::asio::post(loop_, [this, now = net::now()]
+                                         { answer_starts(now); });
+                     }});
                 data_plane_.on_registry_state(true, net::now() - registry_age);
             });
     }
@@ -207,6 +219,21 @@
         on_loop([this] { is_registry_silent_ = true; });
     }
 
+    /// What the store holds of the starts of all daemons. Without a call it
+    /// does not answer.
+    void set_kept_starts(std::vector<routing::stream_start> starts)
+    {
+        on_loop([&] { kept_starts_ = std::move(starts); });
+    }
+
+    /// What this daemon keeps in the store.
+    std::vector<routing::stream_start> own_starts()
+    {
+        std::vector<routing::stream_start> out;
+        on_loop([&] { out = own_starts_; });
+        return out;
+    }
+
     int entry_readings()
     {
         int out = 0;
@@ -291,7 +318,17 @@
             asked);
     }
 
+    void answer_starts(base::time_point asked)
+    {
+        if (kept_starts_)
+        {
+            data_plane_.on_starts_read({asked, *kept_starts_});
+        }
+    }
+
     std::vector<routing::target_info> registry_;
+    std::vector<routing::stream_start> own_starts_;
+    std::optional<std::vector<routing::stream_start>> kept_starts_;
     bool is_registry_silent_ = false;
     int entry_readings_ = 0;
     net::asio::io_context loop_{1};
--- a/tests/entry/stream_version_test.cpp
+++ b/tests/entry/stream_version_test.cpp
@@ -30,6 +30,14 @@
         id);
 }
 
+routing::stream_start start_at(char const* version,
+                               char const* prefix = "/stream/")
+{
+    return {"a.example", prefix,
+            routing::digest_of(base::pool_id{"p"},
+                               base::software_version{version})};
+}
+
 std::string resumption_of(std::string const& attempt)
 {
     return "Last-Event-Id: 1\r\nResumes: " + attempt + "\r\n";
@@ -196,3 +204,65 @@
     CHECK(answer.find("id: 2\n") != std::string::npos);
     CHECK(answer.ends_with(stream_end));
 }
+
+TEST(stream_version, the_start_of_a_stream_is_kept)
+{
+    begin_stream("q1");
+    auto const kept = entry_.own_starts();
+    LONGS_EQUAL(1, kept.size());
+    CHECK(kept.front() == start_at("1"));
+}
+
+// All daemons that knew the stream may have died at once.
+TEST(stream_version, a_stream_that_nobody_knows_goes_on_at_its_only_version)
+{
+    entry_.set_targets({&first_, &second_}, {"1", "1"});
+    entry_.set_kept_starts({start_at("1"), start_at("1", "/")});
+    auto const answer = ask(stream_request("q2", resumption_of("q1")));
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("id: 2\n") != std::string::npos);
+}
+
+TEST(stream_version, a_stream_that_nobody_knows_is_not_guessed)
+{
+    struct kept_case
+    {
+        char const* name_;
+        std::vector<routing::stream_start> starts_;
+        std::vector<std::string> versions_;
+    };
+    kept_case const cases[] = {
+        {"nothing is kept", {}, {"1", "1"}},
+        {"two versions began streams of the route",
+         {start_at("1"), start_at("2")},
+         {"1", "1"}},
+        {"two versions began streams of the path",
+         {start_at("1"), start_at("2", "/")},
+         {"1", "1"}},
+        {"two versions serve", {start_at("1")}, {"1", "2"}},
+        {"another version serves", {start_at("1")}, {"2", "2"}},
+    };
+    for (auto const& each : cases)
+    {
+        entry_fixture daemon;
+        daemon.configure();
+        daemon.set_targets({&first_, &second_}, each.versions_);
+        daemon.set_kept_starts(each.starts_);
+        raw_caller caller{daemon.callers()};
+        caller.send(stream_request("q2", resumption_of("q1")));
+        CHECK_TEXT(caller.read_to_end().starts_with("HTTP/1.1 503"),
+                   each.name_);
+        daemon.set_targets({});
+    }
+    LONGS_EQUAL(0, first_.requests().size() + second_.requests().size());
+}
+
+// Targets may have started again with another version while it was away.
+TEST(stream_version, nothing_is_inferred_while_the_registry_is_away)
+{
+    entry_.set_targets({&first_}, {"1"});
+    entry_.set_kept_starts({start_at("1")});
+    entry_.lose_registry();
+    CHECK(ask(stream_request("q2", resumption_of("q1")))
+              .starts_with("HTTP/1.1 503"));
+}
--- a/tests/routing/origin_archive_test.cpp
+++ b/tests/routing/origin_archive_test.cpp
@@ -133,3 +133,32 @@
         CHECK(batches * daemons <= 50 * 10 + daemons);
     }
 }
+
+// A split route, or one that has just moved, hides the version of its streams.
+TEST(origin_archive, keeps_origins_of_pools_that_share_a_route)
+{
+    show({"1"}, 0s);
+    archive_.on_begun(pool, origin(1), at(1s));
+    LONGS_EQUAL(0, written(2s));
+    auto const version = digest_of(pool, base::software_version{"1"});
+    archive_.set_ambiguous({version}, at(2s));
+    CHECK(archive_.keeps(pool, at(2s)));
+    LONGS_EQUAL(1, written(3s));
+    archive_.set_ambiguous({}, at(3s));
+    CHECK(!archive_.keeps(pool, at(3s)));
+}
+
+TEST(origin_archive, knows_versions_that_serve_alone)
+{
+    auto const version = digest_of(pool, base::software_version{"1"});
+    CHECK(!archive_.serves_alone(version, at(0s)));
+    show({"1"}, 0s);
+    CHECK(archive_.serves_alone(version, at(0s)));
+    show({"1", "2"}, 1s);
+    CHECK(!archive_.serves_alone(version, at(1s)));
+    show({"1"}, 2s);
+    CHECK(!archive_.serves_alone(version, at(3s)));
+    CHECK(archive_.serves_alone(version, at(3s + origin_archive::retention)));
+    show({}, 60s);
+    CHECK(!archive_.serves_alone(version, at(100s)));
+}
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,3 +1,4 @@
+#include "tests/soak/loss_run.hpp"
 #include "tests/soak/soak_run.hpp"
 
 #include <absl/flags/flag.h>
@@ -17,6 +18,9 @@
 ABSL_FLAG(int, brittle, 0,
           "rejections a second that the targets stand all along; 0: they "
           "become brittle as one of the faults");
+ABSL_FLAG(int, losses, 0,
+          "in place of the faults, all daemons are killed at once, one time up "
+          "to so many times, while streams are under way");
 ABSL_FLAG(bool, story, false, "tell each fault");
 
 namespace
@@ -67,6 +71,34 @@
     return broken.empty();
 }
 
+/// Whether streams went on after each loss of all daemons.
+bool play_losses()
+{
+    auto all_right = true;
+    for (int versions = 1; versions <= 2; ++versions)
+    {
+        for (int losses = 1; losses <= absl::GetFlag(FLAGS_losses); ++losses)
+        {
+            soak::loss_settings settings;
+            settings.losses_ = losses;
+            settings.versions_ = versions;
+            settings.program_ = absl::GetFlag(FLAGS_program);
+            settings.folder_ = absl::GetFlag(FLAGS_folder) + "/losses-" +
+                               std::to_string(losses) + "-" +
+                               std::to_string(versions);
+            std::filesystem::remove_all(settings.folder_);
+            std::filesystem::create_directories(settings.folder_);
+            auto const is_right = soak::loss_run{settings}.play();
+            if (is_right)
+            {
+                std::filesystem::remove_all(settings.folder_);
+            }
+            all_right = all_right && is_right;
+        }
+    }
+    return all_right;
+}
+
 } // namespace
 
 /// Plays faults on real daemons and checks what callers and targets see.
@@ -78,6 +110,10 @@
         "Logs of failed seeds stay in the folder.");
     absl::ParseCommandLine(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    if (absl::GetFlag(FLAGS_losses) > 0)
+    {
+        return play_losses() ? 0 : 1;
+    }
     int failed = 0;
     for (int i = 0; i < absl::GetFlag(FLAGS_seeds); ++i)
     {
