A status that does not exist is no answer

Cause: Beast's parser accepts any three digits, and channel passed on what the parser accepted.

Change: a status outside 100 to 599 ends the exchange as malformed before the head is used. channel reads the answers of targets, daemons and the store.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -29,6 +29,23 @@
 /// so that no request is sent while the close is on its way.
 constexpr base::duration idle_margin = 400ms;
 
+/// Why the head is none of an HTTP answer that this side can read; null if it
+/// is one. Beast's parser takes any three digits as a status.
+char const* find_flaw(http::response_header<> const& head)
+{
+    auto const status = head.result_int();
+    if (status < 100 || status > 599)
+    {
+        return "malformed answer: unknown status";
+    }
+    if (head.count(http::field::content_length) > 1 ||
+        head.count(http::field::transfer_encoding) > 1)
+    {
+        return "answer with two framings";
+    }
+    return nullptr;
+}
+
 /// Value of `Keep-Alive: timeout=N`, where N is in seconds; none if the field
 /// is absent or malformed.
 std::optional<base::duration> keep_alive_timeout(header_list const& headers)
@@ -317,6 +334,11 @@
 bool channel::handle_head()
 {
     auto const& message = parser_->get();
+    if (auto const* const flaw = find_flaw(message))
+    {
+        fail_exchange(flaw);
+        return false;
+    }
     if (message.result_int() / 100 == 1)
     {
         // An interim answer (1xx); the final one follows.
@@ -333,12 +355,6 @@
                           std::string{field.value()});
     }
     head_handled_ = true;
-    if (message.count(http::field::content_length) > 1 ||
-        message.count(http::field::transfer_encoding) > 1)
-    {
-        fail_exchange("answer with two framings");
-        return false;
-    }
     switch (sink_->on_head(head))
     {
     case head_action::refuse:
