An answer with a coding that is not decoded is refused

Cause: Beast's parser decodes chunked only and passes over other codings; the field is hop-by-hop and removed on the way. channel counted the field and did not read it; caller_connection does both for requests.

Change: anything but one Transfer-Encoding of chunked is refused.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -30,7 +30,8 @@
 constexpr base::duration idle_margin = 400ms;
 
 /// Why the head is none of an HTTP answer that this side can read; null if it
-/// is one. Beast's parser takes any three digits as a status.
+/// is one. Beast's parser takes any three digits as a status, decodes `chunked`
+/// only, and passes over other codings.
 char const* find_flaw(http::response_header<> const& head)
 {
     auto const status = head.result_int();
@@ -38,11 +39,16 @@
     {
         return "malformed answer: unknown status";
     }
-    if (head.count(http::field::content_length) > 1 ||
-        head.count(http::field::transfer_encoding) > 1)
+    auto const codings = head.count(http::field::transfer_encoding);
+    if (head.count(http::field::content_length) + codings > 1)
     {
         return "answer with two framings";
     }
+    if (codings > 0 &&
+        !boost::beast::iequals(head[http::field::transfer_encoding], "chunked"))
+    {
+        return "answer with an unknown coding";
+    }
     return nullptr;
 }
 
--- a/tests/net/channel_test.cpp
+++ b/tests/net/channel_test.cpp
@@ -152,6 +152,22 @@
     return "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
 }
 
+/// Only `chunked` is decoded. A body with another coding would be passed on as
+/// the peer's although it is not, and without the field that says so.
+answer_case const unknown_codings[] = {
+    {"another coding", coded("Transfer-Encoding: gzip")},
+    {"another coding before chunked",
+     coded("Transfer-Encoding: gzip, chunked")},
+    {"another coding after chunked", coded("Transfer-Encoding: chunked, gzip")},
+    {"another coding in a field of its own",
+     coded("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked")},
+    {"chunked twice", coded("Transfer-Encoding: chunked, chunked")},
+    {"identity", coded("Transfer-Encoding: identity")},
+    {"no coding", coded("Transfer-Encoding:")},
+    {"a length besides", coded("Transfer-Encoding: chunked\r\n"
+                               "Content-Length: 2")},
+};
+
 std::string named(std::string const& line)
 {
     return "HTTP/1.1 200 OK\r\n" + line + rest;
@@ -246,6 +262,14 @@
     }
 }
 
+TEST(channel, an_answer_with_a_coding_that_is_not_decoded_is_refused)
+{
+    for (auto const& each : unknown_codings)
+    {
+        check_refused(each);
+    }
+}
+
 TEST(channel, a_head_with_a_malformed_field_is_no_answer)
 {
     for (auto const& each : malformed_fields)
