A reset during the upload does not end an answer

Seen by callers: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the failed write takes the error of the socket with it, so the read that follows sees an orderly end, and channel passed over the error of the write. An end that is seen while the write is pending says no more.

Change: channel remembers a failed write, and an answer that has nothing but the end of its connection to show that it is whole is then broken off. If the end comes first, the answer waits for the write. Framed answers are whole as before.

Evidence: of the cases of net_test -g channel two fail without the change (reset during uploads of 1 and 32 MB with 0 to 30,000 bytes of a body; end before the reset) and pass with it, six runs of six. A target that closes its side and reads on gives a whole answer before and after.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -158,6 +158,8 @@
     is_head_request_ = request.method_ == "HEAD";
     out_ = to_text(request);
     paused_ = false;
+    is_cut_ = false;
+    has_ended_ = false;
     skipped_bytes_ = 0;
     reset_parser();
     send();
@@ -189,12 +191,22 @@
     sending_ = false;
     out_.clear();
     out_.shrink_to_fit();
+    if (closed_)
+    {
+        return;
+    }
     // A write fails when the peer has closed. What the peer sent before that,
-    // for example an early answer, is still read during the exchange.
-    if (error && !closed_ && sink_ == nullptr)
+    // for example an early answer, is still read during the exchange. The error
+    // is reported once, so the read after it sees an orderly end.
+    is_cut_ = static_cast<bool>(error);
+    if (is_cut_ && sink_ == nullptr)
     {
         close();
     }
+    else if (has_ended_)
+    {
+        end_unframed();
+    }
 }
 
 void channel::pause(bool paused)
@@ -208,7 +220,7 @@
 
 void channel::read_more()
 {
-    if (reading_ || closed_ || paused_)
+    if (reading_ || closed_ || paused_ || has_ended_)
     {
         return;
     }
@@ -248,13 +260,29 @@
     if (error == asio::error::eof && parser_ && head_handled_ &&
         parser_->need_eof() && !skipping_)
     {
-        keep_alive_ = false;
-        complete(answer_end::close);
+        has_ended_ = true;
+        // Whether the end is orderly shows when the peer has taken the request
+        // or refused to.
+        if (!sending_)
+        {
+            end_unframed();
+        }
         return;
     }
     fail_exchange(error.message());
 }
 
+void channel::end_unframed()
+{
+    if (is_cut_)
+    {
+        fail_exchange("connection reset while the request was sent");
+        return;
+    }
+    keep_alive_ = false;
+    complete(answer_end::close);
+}
+
 void channel::parse()
 {
     auto const self = shared_from_this();
--- a/src/net/channel.hpp
+++ b/src/net/channel.hpp
@@ -50,7 +50,8 @@
     virtual void on_body(std::string_view bytes) = 0;
     virtual void on_complete(answer_end end) = 0;
     /// The answer ended early, was malformed or was refused. `detail` is for
-    /// logs.
+    /// logs. An answer without a length is not whole if the connection was
+    /// reset, or if the peer did not take the whole request.
     virtual void on_broken(std::string const& detail) = 0;
 };
 
@@ -102,6 +103,8 @@
     bool parse_some(error_code& error);
     bool handle_head();
     void on_read_error(error_code const& error);
+    /// The connection has ended, and with it an answer without a length.
+    void end_unframed();
     void complete(answer_end end);
     void finish_exchange(bool keep_alive);
     void fail_exchange(std::string const& detail);
@@ -118,6 +121,10 @@
     std::string out_;
     bool is_head_request_ = false;
     bool sending_ = false;
+    /// The request could not be sent whole, since the peer has closed.
+    bool is_cut_ = false;
+    /// The peer sends no more.
+    bool has_ended_ = false;
     bool reading_ = false;
     bool head_handled_ = false;
     bool skipping_ = false;
--- a/tests/net/channel_test.cpp
+++ b/tests/net/channel_test.cpp
@@ -30,7 +30,8 @@
         sockaddr_in name{};
         name.sin_family = AF_INET;
         name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof name);
+        (void)::bind(listener_, reinterpret_cast<sockaddr*>(&name),
+                     sizeof name);
         ::listen(listener_, 1);
         socklen_t size = sizeof name;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&name), &size);
@@ -307,6 +308,60 @@
     STRCMP_EQUAL("ok", got_.body_.c_str());
 }
 
+// A write that fails takes the error of the connection with it, and the end
+// that is read after it looks orderly.
+TEST(channel, a_reset_during_the_upload_is_no_end_of_an_answer)
+{
+    // The smaller upload fits into the socket buffers, or nearly so.
+    for (auto const upload : {std::size_t{1} << 20U, large_upload})
+    {
+        for (auto const size : {0U, 15U, 500U, 30'000U})
+        {
+            raw_peer const peer{
+                [size](int socket)
+                {
+                    raw_peer::read_head(socket);
+                    raw_peer::send(socket, unframed + std::string(size, 'x'));
+                    // The answer is read before the reset.
+                    std::this_thread::sleep_for(50ms);
+                    raw_peer::reset_at_close(socket);
+                }};
+            exchange(peer, std::string(upload, 'u'));
+            CHECK(got_.broken_.has_value());
+            CHECK(!got_.end_);
+        }
+    }
+}
+
+TEST(channel, an_end_before_the_upload_fails_is_no_end_of_an_answer)
+{
+    raw_peer const peer{[](int socket)
+                        {
+                            raw_peer::read_head(socket);
+                            raw_peer::send(socket, unframed + "part");
+                            ::shutdown(socket, SHUT_WR);
+                            std::this_thread::sleep_for(50ms);
+                            raw_peer::reset_at_close(socket);
+                        }};
+    exchange(peer, std::string(large_upload, 'u'));
+    CHECK(got_.broken_.has_value());
+}
+
+TEST(channel, an_answer_may_end_before_the_whole_upload_is_read)
+{
+    raw_peer const peer{[](int socket)
+                        {
+                            raw_peer::read_head(socket);
+                            raw_peer::send(socket, unframed + "whole");
+                            ::shutdown(socket, SHUT_WR);
+                            std::this_thread::sleep_for(50ms);
+                            raw_peer::read(socket, large_upload);
+                        }};
+    exchange(peer, std::string(large_upload, 'u'));
+    CHECK(got_.end_ == net::answer_end::close);
+    STRCMP_EQUAL("whole", got_.body_.c_str());
+}
+
 TEST(channel, a_framed_answer_is_whole_although_the_upload_is_reset)
 {
     raw_peer const peer{[](int socket)
