Nothing is inferred from a store that may lack starts of streams

Cause: a store that is restored from an older copy may lack the item of a daemon that wrote its first one since and has died. The other items are written again in the new era, and then seem to name all versions that began streams.

Change: a daemon that sees a new era goes on naming the one before in its item until the streams of that time cannot be taken up any more (45 s). An item of an earlier era keeps all daemons from inferring, also those that start later.

The store's unit test for the era fails without the change.

--- a/src/entry/stream_start_store.cpp
+++ b/src/entry/stream_start_store.cpp
@@ -45,6 +45,7 @@
 
 void stream_start_store::advance()
 {
+    vouch();
     if (is_busy_ || !update_)
     {
         return;
@@ -63,10 +64,23 @@
     }
     else
     {
-        timer_.set(renew_at_);
+        timer_.set(
+            std::min(renew_at_, vouch_at_.value_or(base::time_point::max())));
     }
 }
 
+void stream_start_store::vouch()
+{
+    if (vouch_at_.value_or(base::time_point::min()) > net::now() ||
+        vouched_era_ == era_.current())
+    {
+        return;
+    }
+    vouch_at_.reset();
+    vouched_era_ = era_.current();
+    is_written_ = false;
+}
+
 void stream_start_store::grant()
 {
     is_busy_ = true;
@@ -90,8 +104,7 @@
 void stream_start_store::put()
 {
     is_busy_ = true;
-    store_.put(key_, write_stream_starts(era_.current(), update_->list_),
-               *lease_,
+    store_.put(key_, write_stream_starts(vouched_era_, update_->list_), *lease_,
                calls_.wrap([this, written = update_->revision_](
                                base::result<void> const& result)
                            { on_put(written, result); }));
@@ -147,11 +160,13 @@
 }
 
 // The items of daemons that have died since the copy was made show an earlier
-// state, or are missing. They are of an earlier era, so nothing is inferred
-// until their leases end.
+// state, or are missing. Nothing is inferred for as long as their streams may
+// be taken up: the items of the daemons that have seen the restoration go on
+// naming the era before, also to daemons that start later.
 void stream_start_store::on_new_era()
 {
     calls_.give_up_calls();
+    vouch_at_ = net::now() + lease_time;
     lease_.reset();
     is_written_ = false;
     is_busy_ = false;
--- a/src/entry/stream_start_store.hpp
+++ b/src/entry/stream_start_store.hpp
@@ -21,7 +21,8 @@
 
 /// Keeps the starts of this daemon's streams in the store, and reads those of
 /// all daemons. The item outlives the daemon for as long as its streams may be
-/// taken up.
+/// taken up. It names an era of the store of which no start is missing, as far
+/// as this daemon knows.
 class stream_start_store
 {
 public:
@@ -44,7 +45,8 @@
     /// Replaces what is kept.
     void write(routing::stream_starts::update update);
     /// Reads all items, unless a reading is under way. No result follows if the
-    /// items are not complete or not of this era of the store.
+    /// items are not complete, or some may be missing since the store was
+    /// restored from an older copy.
     void read();
     void on_new_era();
 
@@ -55,6 +57,7 @@
     static constexpr base::duration max_retry_pause = std::chrono::seconds{2};
 
     void advance();
+    void vouch();
     void grant();
     void renew();
     void put();
@@ -71,6 +74,10 @@
     rate_limited_log log_{"starts"};
     std::optional<routing::stream_starts::update> update_;
     std::optional<store_lease> lease_;
+    /// The era that the item names; unknown until the store's is known.
+    store_era vouched_era_ = unknown_store_era;
+    /// When the items that a restored copy lacks have no streams any more.
+    std::optional<base::time_point> vouch_at_;
     bool is_written_ = false;
     bool is_busy_ = false;
     base::time_point renew_at_ = base::time_point::max();
--- a/tests/entry/stream_start_store_test.cpp
+++ b/tests/entry/stream_start_store_test.cpp
@@ -134,17 +134,23 @@
 }
 
 // The restored copy may lack the item, and its leases may be those of others.
-TEST(stream_start_store, is_written_again_in_a_new_era)
+// It may also lack items of daemons that have died since it was made.
+TEST(stream_start_store, a_restored_store_is_not_vouched_for)
 {
     starts_.write(update_of(1, {"/a/"}));
     grant(9);
-    put(base::success());
+    CHECK(read_stream_starts(store_era{3}, put(base::success()).value_)
+              .has_value());
     enter_era(4);
     grant(2);
     auto const again = put(base::success());
     CHECK(again.lease_ == store_lease{2});
-    CHECK(read_stream_starts(store_era{4}, again.value_).has_value());
-    CHECK(!read_stream_starts(store_era{3}, again.value_).has_value());
+    CHECK(!read_stream_starts(store_era{4}, again.value_).has_value());
+    read({again.value_});
+    CHECK(found_.empty());
+    starts_.write(update_of(2, {"/a/", "/b/"}));
+    CHECK(!read_stream_starts(store_era{4}, put(base::success()).value_)
+               .has_value());
 }
 
 TEST(stream_start_store, reads_the_starts_of_all_daemons)
