A list of stream starts that does not fit says so

A daemon whose routes and versions are more than fit into its item (10,000) would have written the first ones, and a reader would have taken them for all. Such an item is marked as incomplete, and nothing is inferred while it is there. Found by reading the diff; not seen anywhere.

--- a/src/entry/report_codec.cpp
+++ b/src/entry/report_codec.cpp
@@ -290,7 +290,7 @@
         }
         routing::stream_start_list list;
         archive(list);
-        return list;
+        return list.is_complete_ ? std::optional{list} : std::nullopt;
     }
     catch (cereal::Exception const&)
     {
--- a/src/entry/report_codec.hpp
+++ b/src/entry/report_codec.hpp
@@ -33,10 +33,10 @@
 read_stream_message(std::string_view datagram);
 
 /// Encodes what a daemon keeps in the store about the starts of its streams.
-/// `era`: of the store that it is written to.
+/// `era`: the last one of the store of which no item is missing.
 std::string write_stream_starts(routing::store_era era,
                                 routing::stream_start_list& list);
-/// Nothing if the item is damaged, or was not written in this era of the store.
+/// Nothing if the item is damaged or not complete, or names another era.
 std::optional<routing::stream_start_list>
 read_stream_starts(routing::store_era era, std::string_view item);
 
--- a/src/routing/stream_starts.cpp
+++ b/src/routing/stream_starts.cpp
@@ -115,11 +115,13 @@
     }
     taken_ = current_;
     update out{current_, {}};
-    for (auto const& [start, used] : starts_)
+    auto& list = out.list_;
+    list.is_complete_ = starts_.size() <= stream_start_list::max_items;
+    if (list.is_complete_)
     {
-        if (out.list_.starts_.size() < stream_start_list::max_items)
+        for (auto const& [start, used] : starts_)
         {
-            out.list_.starts_.push_back(start);
+            list.starts_.push_back(start);
         }
     }
     return out;
--- a/src/routing/stream_starts.hpp
+++ b/src/routing/stream_starts.hpp
@@ -40,16 +40,19 @@
     }
 };
 
-/// All starts of one daemon.
+/// The starts of one daemon.
 struct stream_start_list
 {
     static constexpr std::size_t max_items = 10'000;
 
     std::vector<stream_start> starts_;
+    /// False if there are more than fit. Nothing may be inferred then.
+    bool is_complete_ = true;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
+        archive(is_complete_);
         base::serialize_list(archive, starts_, max_items);
     }
 };
--- a/tests/entry/stream_start_store_test.cpp
+++ b/tests/entry/stream_start_store_test.cpp
@@ -176,10 +176,12 @@
 }
 
 // What a daemon wrote since the copy was made is gone, and nobody else knows.
-TEST(stream_start_store, items_of_an_earlier_era_or_damaged_ones_tell_nothing)
+TEST(stream_start_store, items_of_an_earlier_era_and_damaged_ones_tell_nothing)
 {
     read({item_of(3, "/a/"), item_of(2, "/b/")});
     read({item_of(3, "/a/"), "damaged"});
+    routing::stream_start_list incomplete{{}, false};
+    read({item_of(3, "/a/"), write_stream_starts(store_era{3}, incomplete)});
     CHECK(found_.empty());
     read({item_of(3, "/a/")});
     LONGS_EQUAL(1, found_.size());
--- a/tests/routing/stream_starts_test.cpp
+++ b/tests/routing/stream_starts_test.cpp
@@ -131,3 +131,13 @@
     LONGS_EQUAL(2, starts_.ambiguous().size());
     CHECK(!starts_.ambiguous().contains(second));
 }
+
+TEST(stream_starts, a_list_that_is_too_long_says_so)
+{
+    for (std::size_t i = 0; i <= stream_start_list::max_items; ++i)
+    {
+        starts_.may_begin(start_of(("/" + std::to_string(i) + "/").c_str()),
+                          at(0ms));
+    }
+    CHECK(!starts_.take_due(at(0ms))->list_.is_complete_);
+}
