--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -122,7 +122,8 @@
 
     /// Adds the routes /plain/ (idempotent), /once/ (non-idempotent), /stream/
     /// (resumable stream) and /flow/ (stream that cannot be resumed).
-    void configure(base::duration timeout = std::chrono::seconds{5})
+    void configure(base::duration timeout = std::chrono::seconds{5},
+                   std::size_t max_body_bytes = 8192)
     {
         std::vector<routing::route> routes;
         auto const add = [&](char const* prefix, routing::route_kind kind,
@@ -151,7 +152,8 @@
         auto const fresh = std::make_shared<routing::configuration const>(
             base::config_version{1}, routes,
             std::vector<routing::workspace>{shop},
-            routing::caller_limits{4096, 8192, std::chrono::seconds{3},
+            routing::caller_limits{4096, max_body_bytes,
+                                   std::chrono::seconds{3},
                                    std::chrono::seconds{15}});
         on_loop([&] { data_plane_.on_configuration(fresh); });
     }
