The simulated losses pass on a stream's start as it is

simulated_losses packed prefix, pool and version into a text and took it apart again, and its header named the parameter otherwise. stream_start holds what is needed. No decision and no bound changes.

--- a/tests/routing/simulated_losses.cpp
+++ b/tests/routing/simulated_losses.cpp
@@ -244,23 +244,18 @@
             prefix = each;
         }
     }
-    auto const& versions =
-        at_daemon.view_.versions_.at(at_daemon.view_.routes_.at(prefix));
+    auto const& pool = at_daemon.view_.routes_.at(prefix);
+    auto const& versions = at_daemon.view_.versions_.at(pool);
     auto const& version =
         *std::next(versions.begin(),
                    static_cast<std::ptrdiff_t>(random_.below(versions.size())));
-    send(d, path,
-         prefix + "\n" + at_daemon.view_.routes_.at(prefix) + "\n" + version);
+    send(d, path, {host, prefix, digest(pool, version)});
 }
 
 void simulated_losses::send(std::size_t d, std::string const& path,
-                            std::string const& where)
+                            stream_start const& begins)
 {
     auto& at_daemon = daemons_[d];
-    auto const first = where.find('\n');
-    auto const last = where.rfind('\n');
-    auto const version = digest(where.substr(first + 1, last - first - 1),
-                                where.substr(last + 1));
     auto const life = at_daemon.life_;
     auto const if_alive = [this, d, life](handler what)
     {
@@ -272,16 +267,16 @@
             }
         };
     };
-    if (!at_daemon.starts_.may_begin({host, where.substr(0, first), version},
-                                     now_))
+    if (!at_daemon.starts_.may_begin(begins, now_))
     {
         write(d);
-        after(4ms, if_alive([this, d, path, where] { send(d, path, where); }));
+        after(4ms,
+              if_alive([this, d, path, begins] { send(d, path, begins); }));
         return;
     }
     after(between(0ms, max_prefill),
           if_alive(
-              [this, path, version] {
+              [this, path, version = begins.version_] {
                   streams_.push_back({path, version, now_});
               }));
 }
--- a/tests/routing/simulated_losses.hpp
+++ b/tests/routing/simulated_losses.hpp
@@ -110,7 +110,7 @@
     void show(std::size_t d);
     void begin(std::size_t d, std::string const& path);
     void send(std::size_t d, std::string const& path,
-              std::string const& version);
+              stream_start const& begins);
     void write(std::size_t d);
     /// Writes the item again after the store was restored.
     void rewrite(std::size_t d);
