A slow reading of kept starts no longer holds up others

Cause: questions about streams shared the reading of starts (and of origins) that was under way, however long it took. A reading that began before a question does not answer it, and one whose answer is lost held up all others until its time limit of 1.5 s, longer than the 1.3 s for which a question waits. Callers got 503 for streams that could go on.

Change: both stores use one prefix_reader. The paging, which both had, stands once. A kept list and an unusable reading are told (log, callback).

a_reading_without_an_answer_holds_up_no_other, in stream_start_store and in origin_store, fails on (one listing, two expected) and passes now.

--- a/src/entry/origin_store.cpp
+++ b/src/entry/origin_store.cpp
@@ -27,7 +27,11 @@
                            std::uint64_t incarnation, read_callback found)
     : store_{store}, prefix_{origins_prefix + daemon + "-" +
                              std::to_string(incarnation) + "-"},
-      found_{std::move(found)}
+      found_{std::move(found)}, reader_{store, origins_prefix,
+                                        [this](store_listing const& listing)
+                                        {
+                                            on_listed(listing);
+                                        }}
 {
 }
 
@@ -83,32 +87,13 @@
                    }));
 }
 
-void origin_store::read()
+void origin_store::on_listed(store_listing const& listing)
 {
-    if (!std::exchange(is_reading_, true))
+    if (listing.failure_)
     {
-        read_page({});
+        log_failure("Cannot read the origins of streams.", *listing.failure_);
     }
-}
-
-void origin_store::read_page(std::string const& after)
-{
-    store_.list(origins_prefix, after, false,
-                calls_.wrap([this](base::result<store_page> const& page)
-                            { on_page(page); }),
-                {});
-}
-
-void origin_store::on_page(base::result<store_page> const& page)
-{
-    if (!page)
-    {
-        is_reading_ = false;
-        log_failure("Cannot read the origins of streams.", page.error());
-        return;
-    }
-    auto const& items = page.value().items_;
-    for (auto const& item : items)
+    for (auto const& item : listing.items_)
     {
         if (auto message = read_stream_message(item.value_))
         {
@@ -116,12 +101,6 @@
             found_(std::move(*message));
         }
     }
-    if (page.value().has_more_ && !items.empty())
-    {
-        read_page(items.back().key_);
-        return;
-    }
-    is_reading_ = false;
 }
 
 // A lease of the earlier era may belong to another daemon now.
@@ -130,7 +109,7 @@
     calls_.give_up_calls();
     lease_.reset();
     is_leasing_ = false;
-    is_reading_ = false;
+    reader_.on_new_era();
     waiting_.clear();
 }
 
--- a/src/entry/origin_store.hpp
+++ b/src/entry/origin_store.hpp
@@ -2,6 +2,7 @@
 
 #include "src/entry/callback_guard.hpp"
 #include "src/entry/metadata_store.hpp"
+#include "src/entry/prefix_reader.hpp"
 #include "src/entry/rate_limited_log.hpp"
 #include "src/routing/stream_origin.hpp"
 
@@ -25,15 +26,14 @@
                  std::uint64_t incarnation, read_callback found);
 
     void write(routing::stream_message message);
-    /// Reads all items, unless a reading is under way.
-    void read();
+    /// Reads all items; see `prefix_reader`.
+    void read() { reader_.read(); }
     void on_new_era();
     std::uint64_t writes() const { return writes_; }
 
 private:
     void put(routing::stream_message message, store_lease lease);
-    void read_page(std::string const& after);
-    void on_page(base::result<store_page> const& page);
+    void on_listed(store_listing const& listing);
     void log_failure(char const* message, base::error const& why);
 
     metadata_store& store_;
@@ -44,8 +44,8 @@
     base::time_point lease_from_{};
     bool is_leasing_ = false;
     std::vector<routing::stream_message> waiting_;
-    bool is_reading_ = false;
     std::uint64_t writes_ = 0;
+    prefix_reader reader_;
     callback_guard calls_;
 };
 
--- a/src/entry/stream_start_store.cpp
+++ b/src/entry/stream_start_store.cpp
@@ -29,16 +29,22 @@
                                        std::uint64_t incarnation, outputs out)
     : store_{store}, era_{era}, key_{starts_prefix + daemon + "-" +
                                      std::to_string(incarnation)},
-      out_{std::move(out)}, timer_{loop, [this]
-                                   {
-                                       advance();
-                                   }}
+      out_{std::move(out)}, reader_{store, starts_prefix,
+                                    [this](store_listing const& listing)
+                                    {
+                                        on_listed(listing);
+                                    }},
+      timer_{loop, [this]
+             {
+                 advance();
+             }}
 {
 }
 
 void stream_start_store::write(routing::stream_starts::update update)
 {
     update_ = std::move(update);
+    updated_at_ = net::now();
     is_written_ = false;
     advance();
 }
@@ -121,6 +127,17 @@
     }
     retry_pause_ = min_retry_pause;
     is_written_ = written == update_->revision_;
+    if (is_written_)
+    {
+        auto const now = net::now();
+        log_.write(log_category::control_plane,
+                   log_line{"Starts of streams kept."}
+                       .with("starts", static_cast<std::int64_t>(
+                                           update_->list_.starts_.size()))
+                       .with("era", static_cast<std::int64_t>(vouched_era_))
+                       .with_ms("after_ms", now - updated_at_),
+                   now);
+    }
     out_.kept_(written);
     advance();
 }
@@ -170,61 +187,39 @@
     lease_.reset();
     is_written_ = false;
     is_busy_ = false;
-    reading_.reset();
+    reader_.on_new_era();
     advance();
 }
 
-void stream_start_store::read()
+void stream_start_store::on_listed(store_listing const& listing)
 {
-    if (!reading_)
+    if (listing.failure_)
     {
-        reading_ = kept_stream_starts{net::now(), {}};
-        read_page({});
-    }
-}
-
-void stream_start_store::read_page(std::string const& after)
-{
-    store_.list(starts_prefix, after, false,
-                calls_.wrap([this](base::result<store_page> const& page)
-                            { on_page(page); }),
-                {});
-}
-
-void stream_start_store::on_page(base::result<store_page> const& page)
-{
-    if (!page)
-    {
-        reading_.reset();
         log_.write(log_category::control_plane,
                    log_line{"Cannot read the starts of streams."}.with(
-                       "reason", page.error().str()),
+                       "reason", listing.failure_->str()),
                    net::now());
+        out_.unusable_(listing.asked_);
         return;
     }
-    auto const& items = page.value().items_;
-    for (auto const& item : items)
+    kept_stream_starts found{listing.asked_, {}};
+    for (auto const& item : listing.items_)
     {
         auto const list = read_stream_starts(era_.current(), item.value_);
         if (!list)
         {
-            reading_.reset();
-            log_.write(log_category::control_plane,
-                       log_line{"Starts of streams are unknown."}.with(
-                           "key", item.key_),
-                       net::now());
+            log_.write(
+                log_category::control_plane,
+                log_line{"Starts of streams are unknown."}
+                    .with("key", item.key_)
+                    .with("era", static_cast<std::int64_t>(era_.current())),
+                net::now());
+            out_.unusable_(listing.asked_);
             return;
         }
-        auto& starts = reading_->starts_;
-        starts.insert(starts.end(), list->starts_.begin(), list->starts_.end());
-    }
-    if (page.value().has_more_ && !items.empty())
-    {
-        read_page(items.back().key_);
-        return;
+        found.starts_.insert(found.starts_.end(), list->starts_.begin(),
+                             list->starts_.end());
     }
-    auto found = std::move(*reading_);
-    reading_.reset();
     out_.found_(std::move(found));
 }
 
--- a/src/entry/stream_start_store.hpp
+++ b/src/entry/stream_start_store.hpp
@@ -2,6 +2,7 @@
 
 #include "src/entry/callback_guard.hpp"
 #include "src/entry/metadata_store.hpp"
+#include "src/entry/prefix_reader.hpp"
 #include "src/entry/rate_limited_log.hpp"
 #include "src/entry/store_era_tracker.hpp"
 #include "src/net/event_loop.hpp"
@@ -28,12 +29,16 @@
 public:
     using kept_callback = std::function<void(routing::stream_starts::revision)>;
     using read_callback = std::function<void(kept_stream_starts)>;
+    using unusable_callback = std::function<void(base::time_point asked)>;
 
     /// Receivers of what the store has answered.
     struct outputs
     {
         kept_callback kept_;
         read_callback found_;
+        /// The reading that was sent at `asked` tells nothing.
+        unusable_callback unusable_ = [](base::time_point) {
+        };
     };
 
     /// `daemon` and `incarnation` name the item of this start of the daemon.
@@ -44,10 +49,10 @@
 
     /// Replaces what is kept.
     void write(routing::stream_starts::update update);
-    /// Reads all items, unless a reading is under way. No result follows if the
+    /// Reads all items; see `prefix_reader`. The result is unusable if the
     /// items are not complete, or some may be missing since the store was
     /// restored from an older copy.
-    void read();
+    void read() { reader_.read(); }
     void on_new_era();
 
 private:
@@ -64,8 +69,7 @@
     void on_put(routing::stream_starts::revision written,
                 base::result<void> const& result);
     void fail(base::error const& why);
-    void read_page(std::string const& after);
-    void on_page(base::result<store_page> const& page);
+    void on_listed(store_listing const& listing);
 
     metadata_store& store_;
     store_era_tracker const& era_;
@@ -79,10 +83,12 @@
     /// When the items that a restored copy lacks have no streams any more.
     std::optional<base::time_point> vouch_at_;
     bool is_written_ = false;
+    /// When the latest list came.
+    base::time_point updated_at_{};
     bool is_busy_ = false;
     base::time_point renew_at_ = base::time_point::max();
     base::duration retry_pause_ = min_retry_pause;
-    std::optional<kept_stream_starts> reading_;
+    prefix_reader reader_;
     net::deadline_timer timer_;
     callback_guard calls_;
 };
--- a/tests/entry/origin_store_test.cpp
+++ b/tests/entry/origin_store_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <thread>
+
 using namespace tanagerlead;
 using namespace tanagerlead::entry;
 using tanagerlead::test::fake_store;
@@ -106,3 +108,15 @@
     grant(3);
     CHECK(store_.puts_[1].lease_ == store_lease{3});
 }
+
+TEST(origin_store, a_reading_without_an_answer_holds_up_no_other)
+{
+    auto kept = batch(1);
+    origins_.read();
+    std::this_thread::sleep_for(prefix_reader::share_time);
+    origins_.read();
+    LONGS_EQUAL(2, store_.lists_.size());
+    store_.lists_[1].done_(
+        store_page{{item("k1", write_stream_message(kept))}, false, {}});
+    LONGS_EQUAL(1, found_.size());
+}
--- a/tests/entry/stream_start_store_test.cpp
+++ b/tests/entry/stream_start_store_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <thread>
+
 using namespace tanagerlead;
 using namespace tanagerlead::entry;
 using routing::stream_starts;
@@ -196,3 +198,21 @@
     starts_.read();
     LONGS_EQUAL(1, store_.lists_.size());
 }
+
+// The answer may be lost, and a reading that began before a question does not
+// answer it.
+TEST(stream_start_store, a_reading_without_an_answer_holds_up_no_other)
+{
+    starts_.read();
+    std::this_thread::sleep_for(prefix_reader::share_time);
+    starts_.read();
+    starts_.read();
+    LONGS_EQUAL(2, store_.lists_.size());
+    store_.lists_[1].done_(store_page{});
+    LONGS_EQUAL(1, found_.size());
+    starts_.read();
+    LONGS_EQUAL(3, store_.lists_.size());
+    store_.lists_[0].done_(store_page{});
+    LONGS_EQUAL(2, found_.size());
+    CHECK(found_[1].asked_ < found_[0].asked_);
+}
