A refused stream's log line says why its version is unknown

All refusals said cause=unknown_version, which does not tell whether the registry was lost or had not settled, the starts of streams could not be read, were of another era, named no version or several, or the version does not serve its pool alone.

Change: the search for an origin ends with a finding: the version, or the gap, with since when the registry can be relied on and the age of the last reading of starts.

Each case of stream_version in which nothing is inferred now names its gap; routing tests cover the decision.

--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -10,6 +10,7 @@
 #include "src/routing/dispatcher.hpp"
 #include "src/routing/event_splitter.hpp"
 #include "src/routing/latency_estimate.hpp"
+#include "src/routing/origin_finding.hpp"
 #include "src/routing/stall_timeout.hpp"
 
 namespace tanagerlead::entry
@@ -169,8 +170,8 @@
          request_context context);
 
     void start();
-    /// Nothing if no daemon knows the stream that the caller takes up.
-    void on_origin(std::optional<routing::version_digest> version);
+    /// What was found out about the stream that the caller takes up.
+    void on_origin(routing::origin_finding const& finding);
     void on_grant(routing::target_info const& target);
     void on_refusal(sched::refusal_cause cause, base::duration retry_after);
     /// Other requests than before are in quarantine.
@@ -206,6 +207,11 @@
     /// Attempts that were moved away from a stalled or a slow target.
     int moves() const { return moves_; }
     int status() const { return status_; }
+    /// Set once the origin of a stream that the caller takes up was looked for.
+    std::optional<routing::origin_finding> const& origin() const
+    {
+        return origin_;
+    }
 
     net::head_action on_head(net::http_response const& head) override;
     void on_body(std::string_view bytes) override;
@@ -334,6 +340,7 @@
     base::time_point reading_since_ = base::time_point::min();
     routing::event_splitter event_splitter_;
     std::optional<std::uint64_t> last_event_;
+    std::optional<routing::origin_finding> origin_;
     /// The version that began the stream.
     routing::version_digest version_ = routing::unknown_version;
     /// The target that brought the first event in this answer, and when the
--- a/src/entry/call_log.cpp
+++ b/src/entry/call_log.cpp
@@ -3,6 +3,29 @@
 namespace tanagerlead::entry
 {
 
+namespace
+{
+
+void add_origin(log_line& line, routing::origin_finding const& origin)
+{
+    line.with("origin_gap", routing::name_of(origin.gap_));
+    if (origin.version_)
+    {
+        return;
+    }
+    if (origin.registry_settled_for_)
+    {
+        line.with_ms("registry_settled_ms", *origin.registry_settled_for_);
+    }
+    if (origin.starts_age_)
+    {
+        line.with_ms("starts_age_ms", *origin.starts_age_)
+            .with("starts", static_cast<std::int64_t>(origin.starts_));
+    }
+}
+
+} // namespace
+
 log_line call_end_line(call const& finished, call_outcome outcome,
                        std::string const& cause, base::duration first,
                        base::time_point now)
@@ -41,6 +64,10 @@
         line.with("resumes", context.metadata_.resumed_attempt_)
             .with("after_event", static_cast<std::int64_t>(*begun));
     }
+    if (finished.origin())
+    {
+        add_origin(line, *finished.origin());
+    }
     line.with_ms("first_ms", first)
         .with_ms("total_ms", now - finished.received())
         .with("config",
--- a/src/entry/call_versions.cpp
+++ b/src/entry/call_versions.cpp
@@ -20,19 +20,20 @@
 
 } // namespace
 
-void call::on_origin(std::optional<routing::version_digest> version)
+void call::on_origin(routing::origin_finding const& finding)
 {
     auto const self = shared_from_this();
     if (state_ != state::waiting)
     {
         return;
     }
-    if (version.value_or(routing::unknown_version) == routing::unknown_version)
+    origin_ = finding;
+    if (!finding.version_)
     {
         answer_locally(503, "unknown_version", retry_elsewhere);
         return;
     }
-    version_ = *version;
+    version_ = *finding.version_;
     auto const* const pool = delegate_.pool_of(version_);
     if (pool == nullptr || !context_.route_->has_pool(*pool))
     {
--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -90,7 +90,7 @@
                { prove_version(target, connected_at); },
                [this]
                {
-                   return target_versions_.is_settled(net::now());
+                   return target_versions_.settled_at();
                }},
       daemon_directory_{settings_, protocol_, peers_.board()},
       callers_{
@@ -242,11 +242,11 @@
     origins_.find({context.metadata_.resumed_attempt_, context.route_->host_,
                    context.request_.target_},
                   [waiting = resumed.weak_from_this()](
-                      std::optional<routing::version_digest> version)
+                      routing::origin_finding const& finding)
                   {
                       if (auto const alive = waiting.lock())
                       {
-                          alive->on_origin(version);
+                          alive->on_origin(finding);
                       }
                   });
 }
@@ -256,8 +256,19 @@
     auto const& route = *ready.context().route_;
     auto const& target = ready.target_record();
     auto const version = routing::digest_of(target.pool_, target.version_);
-    return version == routing::unknown_version ||
-           origins_.may_begin({route.host_, route.prefix_, version});
+    auto const late_before = origins_.late_starts();
+    auto const may_begin =
+        version == routing::unknown_version ||
+        origins_.may_begin({route.host_, route.prefix_, version});
+    if (origins_.late_starts() > late_before)
+    {
+        log_.write(log_category::control_plane,
+                   log_line{"Streams begin before their start is kept."}
+                       .with("route", route.name_)
+                       .with("version", target.version_.str()),
+                   net::now());
+    }
+    return may_begin;
 }
 
 void data_plane::on_daemons(std::vector<std::string> const& ips)
@@ -905,7 +916,7 @@
 {
     auto const now = net::now();
     auto const& board = peers_.board();
-    std::vector<gauge> const gauges{
+    std::vector<gauge> gauges{
         {"waiting_requests", static_cast<double>(dispatcher_.waiting())},
         {"running_requests", static_cast<double>(dispatcher_.in_flight())},
         {"caller_connections",
@@ -947,6 +958,12 @@
         {"log_lines_left_out_total",
          static_cast<double>(log_.suppressed_count())},
     };
+    for (auto const& [gap, count] : origins_.counts().gaps_)
+    {
+        gauges.push_back(
+            {"stream_origin_gaps_total", static_cast<double>(count),
+             "gap=\"" + std::string{routing::name_of(gap)} + "\""});
+    }
     net::http_response response;
     response.status_ = 200;
     response.headers_.add("Content-Type", "text/plain; version=0.0.4");
--- a/src/entry/data_plane.hpp
+++ b/src/entry/data_plane.hpp
@@ -61,6 +61,15 @@
     {
         origins_.on_starts_kept(written);
     }
+    /// What became of the streams that callers took up here.
+    stream_origin_exchange::origin_counts const& origin_counts() const
+    {
+        return origins_.counts();
+    }
+    void on_starts_unusable(base::time_point asked)
+    {
+        origins_.on_starts_unusable(asked);
+    }
     void on_starts_read(kept_stream_starts const& found)
     {
         origins_.on_starts_read(found);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -96,6 +96,11 @@
                 net::asio::post(data_plane_loop_,
                                 [this, read = std::move(found)]
                                 { data_plane_.on_starts_read(read); });
+            },
+            [this](base::time_point asked)
+            {
+                net::asio::post(data_plane_loop_, [this, asked]
+                                { data_plane_.on_starts_unusable(asked); });
             }}}},
       signals_{data_plane_loop_, SIGTERM, SIGINT, SIGHUP},
       log_flush_timer_{data_plane_loop_, [this]
--- a/src/entry/request_metrics.cpp
+++ b/src/entry/request_metrics.cpp
@@ -92,7 +92,8 @@
     std::string out;
     for (auto const& g : gauges)
     {
-        append_sample(out, std::string{"tanagerlead_"} + g.name_, "", g.value_);
+        append_sample(out, std::string{"tanagerlead_"} + g.name_, g.labels_,
+                      g.value_);
     }
     for (auto const& [key, s] : series_)
     {
--- a/src/entry/request_metrics.hpp
+++ b/src/entry/request_metrics.hpp
@@ -17,6 +17,8 @@
 {
     char const* name_;
     double value_;
+    /// Empty, or in the format of the metrics.
+    std::string labels_{};
 };
 
 /// Counters and latency histograms by workspace and tier, in the Prometheus
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -29,10 +29,10 @@
                                                peer_exchange& peers,
                                                version_finder version_of,
                                                version_prover prove,
-                                               settled_finder is_settled)
+                                               settled_finder settled_at)
     : peers_{peers}, version_of_{std::move(version_of)}, prove_{std::move(
                                                              prove)},
-      is_settled_{std::move(is_settled)}, timer_{loop, [this]
+      settled_at_{std::move(settled_at)}, timer_{loop, [this]
                                                  {
                                                      advance();
                                                  }}
@@ -153,8 +153,10 @@
     auto const known = origins_.find(digest);
     if (known || stream.attempt_.empty())
     {
-        count(known);
-        done(known);
+        auto const finding =
+            finding_of(known, routing::origin_gap::attempt_unnamed);
+        count(finding);
+        done(finding);
         return;
     }
     auto const now = net::now();
@@ -206,14 +208,22 @@
 // for after the stream had begun, so the start of its daemon is among them.
 void stream_origin_exchange::on_starts_read(kept_stream_starts const& found)
 {
+    starts_asked_ = found.asked_;
+    starts_found_ = found.starts_.size();
     std::map<routing::attempt_digest, routing::version_digest> inferred;
-    for (auto const& [attempt, waiting] : pending_)
+    for (auto& [attempt, waiting] : pending_)
     {
+        if (waiting.since_ > found.asked_)
+        {
+            continue;
+        }
         auto const& stream = waiting.stream_;
         auto const version =
             routing::sole_version(found.starts_, stream.host_, stream.path_);
-        if (version && waiting.since_ <= found.asked_ && is_settled_() &&
-            archive_.serves_alone(*version, net::now()))
+        waiting.gap_ = version ? archive_.find_gap(*version, net::now())
+                               : routing::gap_of(found.starts_, stream.host_,
+                                                 stream.path_);
+        if (waiting.gap_ == routing::origin_gap::none && is_settled())
         {
             inferred.emplace(attempt, *version);
         }
@@ -226,6 +236,17 @@
     set_timer();
 }
 
+void stream_origin_exchange::on_starts_unusable(base::time_point asked)
+{
+    for (auto& [attempt, waiting] : pending_)
+    {
+        if (waiting.since_ <= asked)
+        {
+            waiting.gap_ = routing::origin_gap::starts_unusable;
+        }
+    }
+}
+
 void stream_origin_exchange::advance_starts()
 {
     auto const now = net::now();
@@ -244,7 +265,7 @@
         return;
     }
     read_starts_at_ = now + archive_read_delay;
-    if (is_settled_())
+    if (is_settled())
     {
         archive_callbacks_.read_starts_();
     }
@@ -273,25 +294,74 @@
     std::optional<routing::version_digest> version)
 {
     auto const [begin, end] = pending_.equal_range(attempt);
-    std::vector<found_callback> waiting;
+    std::vector<pending_resumption> answered;
     for (auto it = begin; it != end; ++it)
     {
-        waiting.push_back(std::move(it->second.done_));
+        answered.push_back(std::move(it->second));
     }
     pending_.erase(begin, end);
-    for (auto const& done : waiting)
+    for (auto const& waiting : answered)
     {
-        count(version);
-        done(version);
+        auto const finding = finding_of(version, waiting.gap_);
+        count(finding);
+        waiting.done_(finding);
     }
 }
 
-void stream_origin_exchange::count(
-    std::optional<routing::version_digest> version)
+routing::origin_finding stream_origin_exchange::finding_of(
+    std::optional<routing::version_digest> version,
+    routing::origin_gap gap) const
 {
-    auto const is_known =
-        version.value_or(routing::unknown_version) != routing::unknown_version;
-    ++(is_known ? counts_.found_ : counts_.unknown_);
+    using routing::origin_gap;
+    auto const now = net::now();
+    auto const settled_at = settled_at_();
+    routing::origin_finding out;
+    out.starts_ = starts_found_;
+    if (starts_asked_)
+    {
+        out.starts_age_ = now - *starts_asked_;
+    }
+    if (settled_at != base::time_point::max())
+    {
+        out.registry_settled_for_ = now - settled_at;
+    }
+    if (version && *version != routing::unknown_version)
+    {
+        out.version_ = version;
+    }
+    else if (version)
+    {
+        out.gap_ = origin_gap::version_unproved;
+    }
+    else if (gap == origin_gap::attempt_unnamed)
+    {
+        out.gap_ = gap;
+    }
+    else if (!out.registry_settled_for_)
+    {
+        out.gap_ = origin_gap::registry_lost;
+    }
+    else if (settled_at > now)
+    {
+        out.gap_ = origin_gap::registry_unsettled;
+    }
+    else
+    {
+        // The latest reading would do, but came before the registry settled.
+        out.gap_ = gap == origin_gap::none ? origin_gap::starts_unread : gap;
+    }
+    return out;
+}
+
+void stream_origin_exchange::count(routing::origin_finding const& finding)
+{
+    if (finding.version_)
+    {
+        ++counts_.found_;
+        return;
+    }
+    ++counts_.unknown_;
+    ++counts_.gaps_[finding.gap_];
 }
 
 void stream_origin_exchange::advance()
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -17,8 +17,7 @@
 class stream_origin_exchange
 {
 public:
-    using found_callback =
-        std::function<void(std::optional<routing::version_digest>)>;
+    using found_callback = std::function<void(routing::origin_finding const&)>;
 
     /// Finds the version of the target behind a connection.
     using version_finder = std::function<routing::version_finding(
@@ -29,8 +28,9 @@
     using version_prover = std::function<void(
         routing::target_info const& target, base::time_point connected_at)>;
 
-    /// Whether the registry's entries can be relied on now.
-    using settled_finder = std::function<bool()>;
+    /// From when on the registry's entries can be relied on; max while it
+    /// cannot be read.
+    using settled_finder = std::function<base::time_point()>;
 
     /// Calls that keep origins, and starts of streams, in the store and read
     /// those of all daemons.
@@ -63,12 +63,14 @@
         /// Of those found: no daemon knew the stream, but its route.
         std::uint64_t inferred_ = 0;
         std::uint64_t archived_ = 0;
+        /// Of those unknown, by reason.
+        std::map<routing::origin_gap, std::uint64_t> gaps_;
     };
 
     /// `peers` must outlive the exchange.
     stream_origin_exchange(net::asio::io_context& loop, peer_exchange& peers,
                            version_finder version_of, version_prover prove,
-                           settled_finder is_settled);
+                           settled_finder settled_at);
 
     void set_archive_callbacks(archive_callbacks callbacks)
     {
@@ -89,6 +91,8 @@
         starts_.on_kept(written);
     }
     void on_starts_read(kept_stream_starts const& found);
+    /// The reading that was sent at `asked` tells nothing.
+    void on_starts_unusable(base::time_point asked);
 
     /// A stream is about to begin; see `stream_starts::may_begin`.
     bool may_begin(routing::stream_start const& start);
@@ -102,7 +106,7 @@
                     routing::version_digest version);
     /// Calls `done` once, at the latest after `answer_timeout`; with no value
     /// if the version can neither be found nor inferred. May call it before it
-    /// returns.
+    /// returns. The finding tells why no version was found.
     void find(resumption const& stream, found_callback done);
     void on_message(routing::peer_ip from,
                     routing::stream_message const& message);
@@ -128,6 +132,8 @@
         resumption stream_;
         base::time_point since_;
         found_callback done_;
+        /// What the latest reading of starts lacked.
+        routing::origin_gap gap_ = routing::origin_gap::starts_unread;
     };
 
     void resolve(unresolved_origin origin);
@@ -140,14 +146,20 @@
     void answer(routing::attempt_digest attempt,
                 std::optional<routing::version_digest> version);
     void answer_from(routing::stream_message const& message);
-    void count(std::optional<routing::version_digest> version);
+    void count(routing::origin_finding const& finding);
+    /// `gap`: why no version could be inferred, unless that was not possible in
+    /// the state of the registry.
+    routing::origin_finding
+    finding_of(std::optional<routing::version_digest> version,
+               routing::origin_gap gap) const;
+    bool is_settled() const { return settled_at_() <= net::now(); }
     void advance_archive();
     void advance_starts();
 
     peer_exchange& peers_;
     version_finder version_of_;
     version_prover prove_;
-    settled_finder is_settled_;
+    settled_finder settled_at_;
     routing::stream_origins origins_;
     routing::origin_archive archive_;
     routing::stream_starts starts_;
@@ -156,6 +168,9 @@
                                          }};
     /// When the store is asked for origins that no daemon has told.
     base::time_point read_archive_at_ = base::time_point::max();
+    /// When the last usable reading of starts was sent, and what it found.
+    std::optional<base::time_point> starts_asked_;
+    std::size_t starts_found_ = 0;
     /// When the starts of streams are read next.
     base::time_point read_starts_at_ = base::time_point::max();
     std::vector<unresolved_origin> unresolved_;
--- a/src/routing/origin_archive.cpp
+++ b/src/routing/origin_archive.cpp
@@ -123,17 +123,27 @@
     return found != pools_.end() && keeps(found->second, now);
 }
 
-bool origin_archive::serves_alone(version_digest version,
-                                  base::time_point now) const
+origin_gap origin_archive::find_gap(version_digest version,
+                                    base::time_point now) const
 {
-    return std::any_of(pools_.begin(), pools_.end(),
-                       [&](auto const& entry)
-                       {
-                           auto const& [id, p] = entry;
-                           return p.serving_.size() == 1 &&
-                                  !p.has_versions(now) &&
-                                  digest_of(id, *p.serving_.begin()) == version;
-                       });
+    for (auto const& [id, p] : pools_)
+    {
+        auto const serves =
+            std::any_of(p.serving_.begin(), p.serving_.end(),
+                        [&, &pool = id](auto const& serving)
+                        { return digest_of(pool, serving) == version; });
+        if (!serves)
+        {
+            continue;
+        }
+        if (p.serving_.size() > 1)
+        {
+            return origin_gap::version_shared;
+        }
+        return p.has_versions(now) ? origin_gap::version_left
+                                   : origin_gap::none;
+    }
+    return origin_gap::version_absent;
 }
 
 std::vector<stream_message> origin_archive::take_due(base::time_point now)
--- a/src/routing/origin_archive.hpp
+++ b/src/routing/origin_archive.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/routing/origin_finding.hpp"
 #include "src/routing/stream_origin.hpp"
 #include "src/routing/target_info.hpp"
 
@@ -41,9 +42,13 @@
                   base::time_point now);
     /// Whether origins of streams in this pool are kept in the store now.
     bool keeps(base::pool_id const& pool, base::time_point now) const;
-    /// Whether all streams of the version's pool that may still be taken up
+    /// `none` if all streams of the version's pool that may still be taken up
     /// began at this version, as far as this daemon has seen.
-    bool serves_alone(version_digest version, base::time_point now) const;
+    origin_gap find_gap(version_digest version, base::time_point now) const;
+    bool serves_alone(version_digest version, base::time_point now) const
+    {
+        return find_gap(version, now) == origin_gap::none;
+    }
     /// What is to be written now.
     std::vector<stream_message> take_due(base::time_point now);
     base::time_point next_wakeup() const { return write_at_; }
--- a/src/routing/stream_starts.cpp
+++ b/src/routing/stream_starts.cpp
@@ -14,26 +14,44 @@
     return stream_starts::revision{static_cast<std::uint64_t>(r) + 1};
 }
 
+std::set<version_digest> candidates(std::vector<stream_start> const& starts,
+                                    std::string_view host,
+                                    std::string_view path)
+{
+    std::set<version_digest> out;
+    for (auto const& start : starts)
+    {
+        if (start.matches(host, path))
+        {
+            out.insert(start.version_);
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 std::optional<version_digest>
 sole_version(std::vector<stream_start> const& starts, std::string_view host,
              std::string_view path)
 {
-    std::optional<version_digest> found;
-    for (auto const& start : starts)
+    auto const versions = candidates(starts, host, path);
+    return versions.size() == 1 ? std::optional{*versions.begin()}
+                                : std::nullopt;
+}
+
+origin_gap gap_of(std::vector<stream_start> const& starts,
+                  std::string_view host, std::string_view path)
+{
+    switch (candidates(starts, host, path).size())
     {
-        if (!start.matches(host, path))
-        {
-            continue;
-        }
-        if (found && *found != start.version_)
-        {
-            return std::nullopt;
-        }
-        found = start.version_;
+    case 0:
+        return origin_gap::no_start;
+    case 1:
+        return origin_gap::none;
+    default:
+        return origin_gap::several_versions;
     }
-    return found;
 }
 
 bool stream_starts::may_begin(stream_start const& start, base::time_point now)
--- a/src/routing/stream_starts.hpp
+++ b/src/routing/stream_starts.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/base/serialization.hpp"
+#include "src/routing/origin_finding.hpp"
 #include "src/routing/stream_origin.hpp"
 
 #include <cstdint>
@@ -63,6 +64,10 @@
 sole_version(std::vector<stream_start> const& starts, std::string_view host,
              std::string_view path);
 
+/// Why `sole_version` found nothing, or `none`.
+origin_gap gap_of(std::vector<stream_start> const& starts,
+                  std::string_view host, std::string_view path);
+
 /// The versions at which the streams of this daemon begin, by route. They are
 /// kept in the store before the first stream begins, so that the origin of a
 /// stream can be inferred after the loss of all daemons that knew it.
--- a/src/routing/target_versions.hpp
+++ b/src/routing/target_versions.hpp
@@ -49,6 +49,8 @@
                                base::time_point now) const;
     /// Whether entries that are read now are not those from before an outage.
     bool is_settled(base::time_point now) const { return now >= settled_at_; }
+    /// From when on; max while the registry cannot be read.
+    base::time_point settled_at() const { return settled_at_; }
 
 private:
     struct known_target
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -228,6 +228,26 @@
         on_loop([&] { kept_starts_ = std::move(starts); });
     }
 
+    /// The store holds starts that cannot be used.
+    void spoil_kept_starts()
+    {
+        on_loop([&] { are_starts_spoilt_ = true; });
+    }
+
+    /// Why the only stream that was taken up and refused was unknown.
+    std::string origin_gap()
+    {
+        std::string out;
+        on_loop(
+            [&]
+            {
+                auto const& gaps = data_plane_.origin_counts().gaps_;
+                LONGS_EQUAL(1, gaps.size());
+                out = routing::name_of(gaps.begin()->first);
+            });
+        return out;
+    }
+
     /// What this daemon keeps in the store.
     std::vector<routing::stream_start> own_starts()
     {
@@ -322,7 +342,11 @@
 
     void answer_starts(base::time_point asked)
     {
-        if (kept_starts_)
+        if (are_starts_spoilt_)
+        {
+            data_plane_.on_starts_unusable(asked);
+        }
+        else if (kept_starts_)
         {
             data_plane_.on_starts_read({asked, *kept_starts_});
         }
@@ -331,6 +355,7 @@
     std::vector<routing::target_info> registry_;
     std::vector<routing::stream_start> own_starts_;
     std::optional<std::vector<routing::stream_start>> kept_starts_;
+    bool are_starts_spoilt_ = false;
     bool is_registry_silent_ = false;
     int entry_readings_ = 0;
     net::asio::io_context loop_{1};
--- a/tests/entry/stream_version_test.cpp
+++ b/tests/entry/stream_version_test.cpp
@@ -230,17 +230,23 @@
         char const* name_;
         std::vector<routing::stream_start> starts_;
         std::vector<std::string> versions_;
+        char const* gap_;
     };
     kept_case const cases[] = {
-        {"nothing is kept", {}, {"1", "1"}},
+        {"nothing is kept", {}, {"1", "1"}, "no_start"},
         {"two versions began streams of the route",
          {start_at("1"), start_at("2")},
-         {"1", "1"}},
+         {"1", "1"},
+         "several_versions"},
         {"two versions began streams of the path",
          {start_at("1"), start_at("2", "/")},
-         {"1", "1"}},
-        {"two versions serve", {start_at("1")}, {"1", "2"}},
-        {"another version serves", {start_at("1")}, {"2", "2"}},
+         {"1", "1"},
+         "several_versions"},
+        {"two versions serve", {start_at("1")}, {"1", "2"}, "version_shared"},
+        {"another version serves",
+         {start_at("1")},
+         {"2", "2"},
+         "version_absent"},
     };
     for (auto const& each : cases)
     {
@@ -252,6 +258,7 @@
         caller.send(stream_request("q2", resumption_of("q1")));
         CHECK_TEXT(caller.read_to_end().starts_with("HTTP/1.1 503"),
                    each.name_);
+        STRCMP_EQUAL(each.gap_, daemon.origin_gap().c_str());
         daemon.set_targets({});
     }
     LONGS_EQUAL(0, first_.requests().size() + second_.requests().size());
@@ -265,4 +272,27 @@
     entry_.lose_registry();
     CHECK(ask(stream_request("q2", resumption_of("q1")))
               .starts_with("HTTP/1.1 503"));
+    STRCMP_EQUAL("registry_lost", entry_.origin_gap().c_str());
+}
+
+TEST(stream_version, a_store_that_tells_nothing_is_named_in_the_refusal)
+{
+    entry_.set_targets({&first_}, {"1"});
+    ask(stream_request("q2", resumption_of("q1")));
+    STRCMP_EQUAL("starts_unread", entry_.origin_gap().c_str());
+}
+
+TEST(stream_version, an_unusable_list_of_starts_is_named_in_the_refusal)
+{
+    entry_.set_targets({&first_}, {"1"});
+    entry_.spoil_kept_starts();
+    ask(stream_request("q2", resumption_of("q1")));
+    STRCMP_EQUAL("starts_unusable", entry_.origin_gap().c_str());
+}
+
+TEST(stream_version, a_caller_that_names_no_attempt_is_named_in_the_refusal)
+{
+    entry_.set_targets({&first_}, {"1"});
+    ask(stream_request("q2", "Last-Event-Id: 1\r\n"));
+    STRCMP_EQUAL("attempt_unnamed", entry_.origin_gap().c_str());
 }
--- a/tests/routing/origin_archive_test.cpp
+++ b/tests/routing/origin_archive_test.cpp
@@ -162,3 +162,15 @@
     show({}, 60s);
     CHECK(!archive_.serves_alone(version, at(100s)));
 }
+
+TEST(origin_archive, names_what_makes_a_version_uncertain)
+{
+    auto const version = digest_of(pool, base::software_version{"1"});
+    CHECK(archive_.find_gap(version, at(0s)) == origin_gap::version_absent);
+    show({"1"}, 0s);
+    CHECK(archive_.find_gap(version, at(0s)) == origin_gap::none);
+    show({"1", "2"}, 1s);
+    CHECK(archive_.find_gap(version, at(1s)) == origin_gap::version_shared);
+    show({"1"}, 2s);
+    CHECK(archive_.find_gap(version, at(3s)) == origin_gap::version_left);
+}
--- a/tests/routing/stream_starts_test.cpp
+++ b/tests/routing/stream_starts_test.cpp
@@ -55,6 +55,19 @@
     CHECK(is_sole({start_of("/a/"), start_of("/a/", second)}, std::nullopt));
 }
 
+TEST(stream_starts, what_keeps_a_version_from_being_inferred_is_named)
+{
+    auto const gap = [](std::vector<stream_start> const& starts)
+    {
+        return std::string{name_of(gap_of(starts, "h", "/a/b/request"))};
+    };
+    STRCMP_EQUAL("no_start", gap({}).c_str());
+    STRCMP_EQUAL("no_start", gap({start_of("/c/")}).c_str());
+    STRCMP_EQUAL("none", gap({start_of("/a/")}).c_str());
+    STRCMP_EQUAL("several_versions",
+                 gap({start_of("/a/"), start_of("/a/", second)}).c_str());
+}
+
 // The route of the path may have been split off since the stream began.
 TEST(stream_starts, routes_with_a_shorter_prefix_are_candidates)
 {
