Streams taken up just after a start wait for the registry

Callers saw: after the loss of all daemons, each stream that was taken up within 0.7 s of their start was refused after 1.3 s, although its version could be inferred from 2 s after the start on.

Cause: the question about a stream ends after 1.3 s, the time for the answers of other daemons, and the inference has a condition that is met just after it (origin_gap=registry_unsettled).

Change: a question that no daemon has answered is held while the registry will settle in time for the caller, by what the route's callers bear, and the starts are read when it settles. The 2 s stay: they guard against targets that have not registered again.

--- a/src/entry/data_plane.cpp
+++ b/src/entry/data_plane.cpp
@@ -240,7 +240,7 @@
 {
     auto const& context = resumed.context();
     origins_.find({context.metadata_.resumed_attempt_, context.route_->host_,
-                   context.request_.target_},
+                   context.request_.target_, context.route_->caller_patience()},
                   [waiting = resumed.weak_from_this()](
                       routing::origin_finding const& finding)
                   {
--- a/src/entry/stream_origin_exchange.cpp
+++ b/src/entry/stream_origin_exchange.cpp
@@ -23,6 +23,10 @@
 /// lost.
 constexpr base::duration archive_read_delay = std::chrono::milliseconds{120};
 
+/// Time that a stream needs to go on once its version is known: a slot, a
+/// connection and its proof, and the first event.
+constexpr base::duration time_to_go_on = std::chrono::seconds{1};
+
 } // namespace
 
 stream_origin_exchange::stream_origin_exchange(net::asio::io_context& loop,
@@ -264,11 +268,16 @@
     {
         return;
     }
+    auto const settled_at = settled_at_();
     read_starts_at_ = now + archive_read_delay;
-    if (is_settled())
+    if (settled_at <= now)
     {
         archive_callbacks_.read_starts_();
     }
+    else
+    {
+        read_starts_at_ = std::min(read_starts_at_, settled_at);
+    }
 }
 
 void stream_origin_exchange::advance_archive()
@@ -300,6 +309,7 @@
         answered.push_back(std::move(it->second));
     }
     pending_.erase(begin, end);
+    held_.erase(attempt);
     for (auto const& waiting : answered)
     {
         auto const finding = finding_of(version, waiting.gap_);
@@ -364,6 +374,45 @@
     ++counts_.gaps_[finding.gap_];
 }
 
+// Nothing is inferred for a while after this daemon has started. A caller that
+// can wait for the end of that time is better off than one that is refused.
+void stream_origin_exchange::give_up(routing::attempt_digest attempt)
+{
+    auto const settled_at = settled_at_();
+    auto latest = base::time_point::max();
+    auto const [begin, end] = pending_.equal_range(attempt);
+    for (auto it = begin; it != end; ++it)
+    {
+        auto const& waiting = it->second;
+        latest = std::min(latest, waiting.since_ + waiting.stream_.patience_ -
+                                      time_to_go_on);
+    }
+    if (settled_at >= latest)
+    {
+        answer(attempt, std::nullopt);
+        return;
+    }
+    held_[attempt] =
+        std::min(latest, settled_at + routing::stream_origins::answer_timeout);
+}
+
+void stream_origin_exchange::answer_held()
+{
+    auto const now = net::now();
+    std::vector<routing::attempt_digest> due;
+    for (auto const& [attempt, until] : held_)
+    {
+        if (until <= now)
+        {
+            due.push_back(attempt);
+        }
+    }
+    for (auto const attempt : due)
+    {
+        answer(attempt, std::nullopt);
+    }
+}
+
 void stream_origin_exchange::advance()
 {
     resolve_due();
@@ -382,8 +431,9 @@
     }
     for (auto const attempt : due.given_up_)
     {
-        answer(attempt, std::nullopt);
+        give_up(attempt);
     }
+    answer_held();
     set_timer();
 }
 
@@ -396,6 +446,10 @@
     {
         next = std::min(next, origin.due_);
     }
+    for (auto const& [attempt, until] : held_)
+    {
+        next = std::min(next, until);
+    }
     if (next != base::time_point::max())
     {
         timer_.set(next);
--- a/src/entry/stream_origin_exchange.hpp
+++ b/src/entry/stream_origin_exchange.hpp
@@ -52,6 +52,8 @@
         std::string attempt_;
         std::string host_;
         std::string path_;
+        /// The caller leaves if the stream does not go on for so long.
+        base::duration patience_{};
     };
 
     /// What became of the streams that callers took up at this daemon, and how
@@ -104,9 +106,10 @@
     /// The stream goes on here at the version that began it.
     void on_resumed(std::string const& attempt,
                     routing::version_digest version);
-    /// Calls `done` once, at the latest after `answer_timeout`; with no value
-    /// if the version can neither be found nor inferred. May call it before it
-    /// returns. The finding tells why no version was found.
+    /// Calls `done` once, after `answer_timeout` or, if the registry settles
+    /// in time for the caller, shortly after that; with no value if the version
+    /// can neither be found nor inferred. May call it before it returns. The
+    /// finding tells why no version was found.
     void find(resumption const& stream, found_callback done);
     void on_message(routing::peer_ip from,
                     routing::stream_message const& message);
@@ -145,6 +148,8 @@
     void set_timer();
     void answer(routing::attempt_digest attempt,
                 std::optional<routing::version_digest> version);
+    void give_up(routing::attempt_digest attempt);
+    void answer_held();
     void answer_from(routing::stream_message const& message);
     void count(routing::origin_finding const& finding);
     /// `gap`: why no version could be inferred, unless that was not possible in
@@ -176,6 +181,9 @@
     std::vector<unresolved_origin> unresolved_;
     origin_counts counts_;
     std::multimap<routing::attempt_digest, pending_resumption> pending_;
+    /// Streams that no daemon has told, and how long they wait for the registry
+    /// to settle.
+    std::map<routing::attempt_digest, base::time_point> held_;
     net::deadline_timer timer_;
 };
 
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -61,6 +61,14 @@
                (kind_ == route_kind::stream && resumable_);
     }
 
+    /// Callers leave a stream, also before its first event, after a pause of
+    /// this length.
+    base::duration caller_patience() const
+    {
+        constexpr base::duration least = std::chrono::seconds{2};
+        return std::max({least, 4 * objective_, 8 * gap_objective_});
+    }
+
     bool has_pool(base::pool_id const& pool) const
     {
         return std::any_of(pools_.begin(), pools_.end(),
--- a/tests/entry/fixture.hpp
+++ b/tests/entry/fixture.hpp
@@ -278,6 +278,17 @@
             });
     }
 
+    /// The registry was lost and read again, `age` ago.
+    void renew_registry(base::duration age)
+    {
+        on_loop(
+            [&]
+            {
+                data_plane_.on_registry_state(false, net::now());
+                data_plane_.on_registry_state(true, net::now() - age);
+            });
+    }
+
     base::address health()
     {
         base::address out;
--- a/tests/entry/stream_version_test.cpp
+++ b/tests/entry/stream_version_test.cpp
@@ -296,3 +296,26 @@
     ask(stream_request("q2", "Last-Event-Id: 1\r\n"));
     STRCMP_EQUAL("attempt_unnamed", entry_.origin_gap().c_str());
 }
+
+// Callers come back as soon as daemons listen again, and have few tries.
+TEST(stream_version, a_stream_waits_for_the_registry_that_settles_in_time)
+{
+    entry_.set_targets({&first_, &second_}, {"1", "1"});
+    entry_.set_kept_starts({start_at("1")});
+    entry_.renew_registry(std::chrono::milliseconds{400});
+    auto const answer = ask(stream_request("q2", resumption_of("q1")));
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.find("id: 2\n") != std::string::npos);
+}
+
+TEST(stream_version, a_stream_does_not_outwait_its_caller)
+{
+    entry_.set_targets({&first_}, {"1"});
+    entry_.set_kept_starts({start_at("1")});
+    entry_.renew_registry(std::chrono::milliseconds{-1000});
+    auto const asked = net::now();
+    CHECK(ask(stream_request("q2", resumption_of("q1")))
+              .starts_with("HTTP/1.1 503"));
+    STRCMP_EQUAL("registry_unsettled", entry_.origin_gap().c_str());
+    CHECK(net::now() - asked < std::chrono::seconds{2});
+}
--- a/tests/soak/loss_run.cpp
+++ b/tests/soak/loss_run.cpp
@@ -19,10 +19,11 @@
 constexpr base::duration max_start_time = 10s;
 constexpr base::duration down_time = 1s;
 constexpr base::duration begin_time = 3s;
-/// Callers that come later than this after their connection broke have given
-/// up, and daemons that have run for most of it must serve them.
-constexpr base::duration return_time = 4500ms;
-constexpr base::duration answer_time = 3s;
+constexpr base::duration answer_time = 4s;
+/// Callers come back so soon while other daemons run.
+constexpr base::duration retry_time = 100ms;
+/// Copies of origins are sent after this long, once the versions are proved.
+constexpr base::duration unproved_time = 500ms;
 /// Callers that begin a stream when the others come back.
 constexpr int new_streams = 12;
 
@@ -222,24 +223,58 @@
     return false;
 }
 
-void loss_run::kill_daemons()
+void loss_run::kill_daemons(std::size_t count)
 {
-    for (auto& d : daemons_)
+    for (std::size_t i = 0; i < count; ++i)
     {
-        d.signal(SIGKILL);
+        daemons_[i].signal(SIGKILL);
     }
-    for (auto& d : daemons_)
+    for (std::size_t i = 0; i < count; ++i)
     {
-        run_until([&] { return d.take_end().has_value(); }, 5s);
+        run_until([&] { return daemons_[i].take_end().has_value(); }, 5s);
     }
 }
 
+bool loss_run::lose_all_daemons()
+{
+    auto lost_at = net::now();
+    for (int i = 0; i < settings_.losses_; ++i)
+    {
+        lost_at = net::now();
+        kill_daemons(daemons_.size());
+        run_for(down_time);
+        if (!start_daemons())
+        {
+            return false;
+        }
+    }
+    run_for(lost_at + settings_.return_time_ - net::now());
+    return true;
+}
+
+void loss_run::lose_one_daemon()
+{
+    kill_daemons(1);
+    run_for(retry_time);
+}
+
 base::address loss_run::daemon_of(int caller) const
 {
     return daemons_[static_cast<std::size_t>(caller) % daemons_.size()]
         .callers();
 }
 
+base::address loss_run::first_daemon_of(int caller) const
+{
+    return daemon_of(settings_.losses_ == 0 ? 0 : caller);
+}
+
+base::address loss_run::next_daemon_of(int caller) const
+{
+    auto const others = settings_.daemons_ - 1;
+    return daemon_of(settings_.losses_ == 0 ? 1 + caller % others : caller + 1);
+}
+
 bool loss_run::play()
 {
     store_.start().value();
@@ -256,7 +291,7 @@
     run_for(settings_.idle_time_);
     for (int i = 0; i < settings_.streams_; ++i)
     {
-        callers_.emplace_back(loop_, i).begin(daemon_of(i));
+        callers_.emplace_back(loop_, i).begin(first_daemon_of(i));
     }
     run_until(
         [&] {
@@ -265,38 +300,42 @@
         },
         begin_time);
     auto const begun = count(callers_, &returning_caller::has_begun);
-    run_for(500ms);
-    auto lost_at = net::now();
-    for (int i = 0; i < settings_.losses_; ++i)
+    run_for(unproved_time);
+    if (settings_.losses_ == 0)
     {
-        lost_at = net::now();
-        kill_daemons();
-        run_for(down_time);
-        if (!start_daemons())
-        {
-            std::printf("the daemons did not start again\n");
-            return false;
-        }
+        lose_one_daemon();
+    }
+    else if (!lose_all_daemons())
+    {
+        std::printf("the daemons did not start again\n");
+        return false;
     }
-    run_for(lost_at + return_time - net::now());
     std::deque<returning_caller> others;
     for (int i = 0; i < settings_.streams_; ++i)
     {
         // At another daemon than before.
-        callers_[static_cast<std::size_t>(i)].take_up(daemon_of(i + 1));
+        callers_[static_cast<std::size_t>(i)].take_up(next_daemon_of(i));
     }
     for (int i = 0; i < new_streams; ++i)
     {
-        others.emplace_back(loop_, 1000 + i).begin(daemon_of(i));
+        others.emplace_back(loop_, 1000 + i).begin(next_daemon_of(i));
     }
-    run_for(answer_time);
+    run_until(
+        [&]
+        {
+            return count(callers_, &returning_caller::went_on) == begun &&
+                   count(others, &returning_caller::has_begun) == new_streams;
+        },
+        answer_time);
     auto const went_on = count(callers_, &returning_caller::went_on);
     auto const joined = count(callers_, &returning_caller::is_joined);
     auto const new_begun = count(others, &returning_caller::has_begun);
-    std::printf("%d losses, %d versions: %d streams begun, %d went on, %d at "
-                "another version, %d of %d new ones begun\n",
-                settings_.losses_, settings_.versions_, begun, went_on, joined,
-                new_begun, new_streams);
+    std::printf("%d losses, %d versions, back after %.1f s: %d streams begun, "
+                "%d went on, %d at another version, %d of %d new ones begun\n",
+                settings_.losses_, settings_.versions_,
+                base::seconds(settings_.losses_ == 0 ? retry_time
+                                                     : settings_.return_time_),
+                begun, went_on, joined, new_begun, new_streams);
     std::fflush(stdout);
     // Half of the share of new streams that begin is the least allowed.
     return begun == settings_.streams_ && joined == 0 && new_begun > 0 &&
--- a/tests/soak/loss_run.hpp
+++ b/tests/soak/loss_run.hpp
@@ -17,7 +17,13 @@
     int targets_ = 6;
     int streams_ = 24;
     /// Times that all daemons are killed at once before callers come back.
+    /// None: one daemon, with all streams, is killed just after they began over
+    /// new connections, and stays away.
     int losses_ = 1;
+    /// From the last loss of all daemons until callers come back. Callers that
+    /// come later than this have given up, and daemons that have run for most
+    /// of it must serve them.
+    base::duration return_time_ = std::chrono::milliseconds{4500};
     /// Software versions of the targets.
     int versions_ = 1;
     /// The streams begin at daemons that have been idle for a while.
@@ -109,10 +115,16 @@
     void write_registry();
     bool start_daemons();
     bool wait_until_ready();
-    void kill_daemons();
+    /// Kills daemons that are to stay away, or all.
+    void kill_daemons(std::size_t count);
+    bool lose_all_daemons();
+    void lose_one_daemon();
     void run_for(base::duration length);
     bool run_until(std::function<bool()> const& reached, base::duration most);
     base::address daemon_of(int caller) const;
+    /// Where a caller's stream begins, and where it is taken up.
+    base::address first_daemon_of(int caller) const;
+    base::address next_daemon_of(int caller) const;
 
     loss_settings settings_;
     net::asio::io_context loop_{1};
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -18,9 +18,10 @@
 ABSL_FLAG(int, brittle, 0,
           "rejections a second that the targets stand all along; 0: they "
           "become brittle as one of the faults");
-ABSL_FLAG(int, losses, 0,
-          "in place of the faults, all daemons are killed at once, one time up "
-          "to so many times, while streams are under way");
+ABSL_FLAG(
+    int, losses, 0,
+    "in place of the faults, one daemon is killed while streams are under "
+    "way, and all daemons at once, one time up to so many times");
 ABSL_FLAG(bool, story, false, "tell each fault");
 
 namespace
@@ -71,32 +72,41 @@
     return broken.empty();
 }
 
-/// Whether streams went on after each loss of all daemons.
+/// Whether streams went on, as far as they must.
+bool play_loss(soak::loss_settings settings, std::string const& name)
+{
+    settings.program_ = absl::GetFlag(FLAGS_program);
+    settings.folder_ = absl::GetFlag(FLAGS_folder) + "/losses-" + name;
+    std::filesystem::remove_all(settings.folder_);
+    std::filesystem::create_directories(settings.folder_);
+    auto const is_right = soak::loss_run{settings}.play();
+    if (is_right)
+    {
+        std::filesystem::remove_all(settings.folder_);
+    }
+    return is_right;
+}
+
+/// One daemon is lost, and then all daemons, once and more often.
 bool play_losses()
 {
     auto all_right = true;
     for (int versions = 1; versions <= 2; ++versions)
     {
-        for (int losses = 1; losses <= absl::GetFlag(FLAGS_losses); ++losses)
+        for (int losses = 0; losses <= absl::GetFlag(FLAGS_losses); ++losses)
         {
             soak::loss_settings settings;
             settings.losses_ = losses;
             settings.versions_ = versions;
-            settings.program_ = absl::GetFlag(FLAGS_program);
-            settings.folder_ = absl::GetFlag(FLAGS_folder) + "/losses-" +
-                               std::to_string(losses) + "-" +
-                               std::to_string(versions);
-            std::filesystem::remove_all(settings.folder_);
-            std::filesystem::create_directories(settings.folder_);
-            auto const is_right = soak::loss_run{settings}.play();
-            if (is_right)
-            {
-                std::filesystem::remove_all(settings.folder_);
-            }
-            all_right = all_right && is_right;
+            auto const name =
+                std::to_string(losses) + "-" + std::to_string(versions);
+            all_right = play_loss(settings, name) && all_right;
         }
     }
-    return all_right;
+    // The callers come back as soon as the daemons listen again.
+    soak::loss_settings early;
+    early.return_time_ = std::chrono::milliseconds{1500};
+    return play_loss(early, "early") && all_right;
 }
 
 } // namespace
