The first start of a daemon's streams is kept with one call

Cause: the lease was asked for when the first stream was about to begin, and the item was written after it. With a store that takes 150 ms for each call the start came later than the 300 ms for which a first stream waits, at every start of a daemon, and its streams could not be inferred if it died then. Found by reading (the users' and ours).

Change: a daemon asks for the lease when it has a configuration with streams that can be taken up. One call and a renewal every 15 s for each daemon, also for those that begin no stream.

a_prepared_daemon_keeps_its_first_start_with_one_call needs the new call, so there is no run of it without the change; the_lease_of_a_prepared_daemon_is_of_ this_era guards the restoration of the store.

--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -32,7 +32,16 @@
                              control_plane_outputs outputs)
     : settings_{s}, store_{store}, protocol_{wire}, entry_read_{std::move(
                                                         outputs.entry_read_)},
-      configuration_{wire, std::move(outputs.configuration_)},
+      configuration_{wire,
+                     [this, report = std::move(outputs.configuration_)](
+                         routing::configuration_ptr const& fresh)
+                     {
+                         if (fresh->has_resumable_streams())
+                         {
+                             starts_.prepare();
+                         }
+                         report(fresh);
+                     }},
       registry_{loop, wire, std::move(outputs.targets_)},
       configuration_watcher_{loop,
                              store,
--- a/src/entry/stream_start_store.cpp
+++ b/src/entry/stream_start_store.cpp
@@ -41,6 +41,12 @@
 {
 }
 
+void stream_start_store::prepare()
+{
+    is_prepared_ = true;
+    advance();
+}
+
 void stream_start_store::write(routing::stream_starts::update update)
 {
     update_ = std::move(update);
@@ -52,7 +58,7 @@
 void stream_start_store::advance()
 {
     vouch();
-    if (is_busy_ || !update_)
+    if (is_busy_ || (!update_ && !is_prepared_))
     {
         return;
     }
@@ -60,7 +66,7 @@
     {
         grant();
     }
-    else if (!is_written_)
+    else if (update_ && !is_written_)
     {
         put();
     }
--- a/src/entry/stream_start_store.hpp
+++ b/src/entry/stream_start_store.hpp
@@ -47,6 +47,8 @@
                        store_era_tracker const& era, std::string const& daemon,
                        std::uint64_t incarnation, outputs out);
 
+    /// Streams may begin soon. With a lease at hand their start takes one call.
+    void prepare();
     /// Replaces what is kept.
     void write(routing::stream_starts::update update);
     /// Reads all items; see `prefix_reader`. The result is unusable if the
@@ -82,6 +84,7 @@
     store_era vouched_era_ = unknown_store_era;
     /// When the items that a restored copy lacks have no streams any more.
     std::optional<base::time_point> vouch_at_;
+    bool is_prepared_ = false;
     bool is_written_ = false;
     /// When the latest list came.
     base::time_point updated_at_{};
--- a/src/routing/configuration.cpp
+++ b/src/routing/configuration.cpp
@@ -105,6 +105,14 @@
     return &workspaces_[at->workspace_];
 }
 
+bool configuration::has_resumable_streams() const
+{
+    return std::any_of(routes_.begin(), routes_.end(),
+                       [](route const& r) {
+                           return r.kind_ == route_kind::stream && r.resumable_;
+                       });
+}
+
 lookup_result configuration::find(std::string_view host, std::string_view path,
                                   std::string_view key) const
 {
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -43,6 +43,8 @@
     std::vector<workspace> const& workspaces() const { return workspaces_; }
 
     std::vector<pool_limits> const& pools() const { return pools_; }
+    /// Whether a route has streams that callers may take up.
+    bool has_resumable_streams() const;
 
     /// The route with the longest prefix of `path` at `host`, and the
     /// workspace that holds `key`. `path` may end in a query.
--- a/tests/entry/stream_start_store_test.cpp
+++ b/tests/entry/stream_start_store_test.cpp
@@ -216,3 +216,27 @@
     LONGS_EQUAL(2, found_.size());
     CHECK(found_[1].asked_ < found_[0].asked_);
 }
+
+// A first stream does not wait for two calls of a slow store.
+TEST(stream_start_store, a_prepared_daemon_keeps_its_first_start_with_one_call)
+{
+    starts_.prepare();
+    starts_.prepare();
+    LONGS_EQUAL(1, store_.grants_.size());
+    grant(9);
+    LONGS_EQUAL(0, store_.puts_.size());
+    starts_.write(update_of(1, {"/a/"}));
+    CHECK(put(base::success()).lease_ == store_lease{9});
+    LONGS_EQUAL(1, kept_.size());
+    LONGS_EQUAL(0, store_.grants_.size());
+}
+
+TEST(stream_start_store, the_lease_of_a_prepared_daemon_is_of_this_era)
+{
+    starts_.prepare();
+    grant(9);
+    enter_era(4);
+    grant(2);
+    starts_.write(update_of(1, {"/a/"}));
+    CHECK(put(base::success()).lease_ == store_lease{2});
+}
