--- a/tools/entry/tanagerlead_entryd.cpp
+++ b/tools/entry/tanagerlead_entryd.cpp
@@ -15,6 +15,12 @@
 #include <optional>
 #include <sstream>
 
+// Builds for development compile again only what has changed, and have no
+// digest of all sources.
+#ifndef TANAGERLEAD_SOURCES
+#define TANAGERLEAD_SOURCES "development"
+#endif
+
 ABSL_FLAG(std::string, settings, "", "settings file (JSON)");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
 ABSL_FLAG(std::string, check_configuration, "",
@@ -81,6 +87,8 @@
         {tanagerlead::base::log_level::info,
          tanagerlead::base::log_layout::text,
          tanagerlead::base::log_output::standard_output});
+    tanagerlead::base::log{"daemon"}.info(
+        "Program started. sources=" TANAGERLEAD_SOURCES);
     tanagerlead::platform::wire_protocol const wire;
     tanagerlead::entry::entry_daemon daemon{
         settings.value(), path, wire,
