Show that idle connections keep large answers' space

A caller's connection keeps the space of its largest answer twice while it is idle. With 400 such connections and answers of 200 kB each of two daemons exceeds the 110 MB of its machine, and what sound targets run is cut.

--- a/review/standins-3/fleet.cpp
+++ b/review/standins-3/fleet.cpp
@@ -79,6 +79,7 @@
         each.id_ = "api-" + std::to_string(i);
         each.service_ = "api";
         each.work_ = settings_.plain_work_;
+        each.answer_bytes_ = settings_.plain_answer_bytes_;
         each.endless_pause_ = settings_.plain_endless_pause_;
         add_runner(each);
     }
--- a/review/standins-3/fleet.hpp
+++ b/review/standins-3/fleet.hpp
@@ -35,6 +35,7 @@
         base::duration plain_endless_pause_{};
         int stream_runners_ = 12;
         int plain_runners_ = 3;
+        std::size_t plain_answer_bytes_ = 800;
     };
 
     deployment(settings s, record& out);
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::size_t max_connections = 360;
 constexpr std::size_t queued_per_slot = 6;
-constexpr std::size_t answer_bytes = 800;
 constexpr std::size_t endless_piece_bytes = 16384;
 
 } // namespace
@@ -105,7 +104,7 @@
     else
     {
         auto answer = head_for(r);
-        answer.body_.assign(answer_bytes, 'a');
+        answer.body_.assign(settings_.answer_bytes_, 'a');
         auto const to = r.to_;
         end(r);
         to->answer(answer);
--- a/review/standins-3/runner.hpp
+++ b/review/standins-3/runner.hpp
@@ -32,6 +32,7 @@
         std::string version_ = "1";
         int events_ = 10;
         base::duration event_time_ = std::chrono::milliseconds{20};
+        std::size_t answer_bytes_ = 800;
         /// Time until the answer or the first event.
         base::duration work_{};
         /// Pause between two pieces of an endless answer, which hold 16 KiB.
--- a/review/standins-3/scenario.cpp
+++ b/review/standins-3/scenario.cpp
@@ -25,7 +25,6 @@
 /// such machines a small deployment may not have.
 constexpr int fault_ends = 3;
 constexpr int fault_machines = 2;
-constexpr std::size_t max_body_bytes = 4194304;
 constexpr std::size_t mean_body_bytes = 600;
 
 bool wait_until_serving(deployment& d)
@@ -117,52 +116,69 @@
     return is_lost || is_fault ? exit_broken : exit_held;
 }
 
-/// Many clients send requests with bodies of the largest size, each sent over
-/// 1.5 s: at the same time, or one after the other in 0.1 s.
-int play_bodies(deployment::settings s, record& out, bool is_disturbed)
+/// Clients that send requests over kept connections, at the same rate over many
+/// of them or over few. Each answer is some hundred kilobytes.
+class many_connections
 {
-    constexpr int clients = 60;
-    constexpr int rounds = 3;
-    s.stream_work_ = 500ms;
-    s.plain_work_ = 60ms;
-    s.event_time_ = 20ms;
-    deployment d{s, out};
-    if (!wait_until_serving(d))
+public:
+    many_connections(deployment& d, int connections_per_thread)
     {
-        return exit_not_run;
+        constexpr int threads_per_daemon = 16;
+        for (int i = 0; i < threads_per_daemon * d.daemon_count(); ++i)
+        {
+            threads_.emplace_back([this, &d, i, connections_per_thread]
+                                  { run(d, i, connections_per_thread); });
+        }
     }
-    std::string const body(max_body_bytes, 'b');
-    load const uploads{d, 12, "/till/x", 1500ms, 250ms};
-    for (int round = 0; round < rounds; ++round)
+    ~many_connections()
     {
-        out.note("burst begins");
-        std::vector<std::thread> threads;
-        for (int i = 0; i < clients; ++i)
+        is_over_ = true;
+        for (auto& each : threads_)
         {
-            threads.emplace_back(
-                [&, i]
-                {
-                    client c{out};
-                    if (!is_disturbed)
-                    {
-                        std::this_thread::sleep_for(i * 150ms);
-                    }
-                    client_request request;
-                    request.id_ = d.fresh_id();
-                    request.path_ = "/recon/x";
-                    request.body_ = &body;
-                    request.send_time_ =
-                        is_disturbed ? base::duration{1500ms} : 100ms;
-                    request.deadline_ = 5s;
-                    c.call(d.ip_of(i), request);
-                });
+            each.join();
         }
-        for (auto& each : threads)
+    }
+    many_connections(many_connections const&) = delete;
+    many_connections& operator=(many_connections const&) = delete;
+
+private:
+    void run(deployment& d, int number, int connections)
+    {
+        std::vector<std::unique_ptr<client>> clients;
+        for (int i = 0; i < connections; ++i)
         {
-            each.join();
+            clients.push_back(std::make_unique<client>(d.out()));
+        }
+        for (std::size_t i = 0; !is_over_; i = (i + 1) % clients.size())
+        {
+            client_request request;
+            request.id_ = d.fresh_id();
+            request.path_ = "/till/x";
+            request.body_ = &body_;
+            request.deadline_ = 1500ms;
+            clients[i]->call(d.ip_of(number), request);
+            std::this_thread::sleep_for(120ms);
         }
-        std::this_thread::sleep_for(stable_window + 2s);
     }
+
+    std::string body_ = std::string(mean_body_bytes, 'm');
+    std::atomic<bool> is_over_ = false;
+    std::vector<std::thread> threads_;
+};
+
+int play_answers(deployment::settings s, record& out, bool is_disturbed)
+{
+    constexpr int many = 25;
+    s.plain_work_ = 200ms;
+    s.plain_answer_bytes_ = 200'000;
+    s.plain_runners_ = 6;
+    deployment d{s, out};
+    if (!wait_until_serving(d))
+    {
+        return exit_not_run;
+    }
+    many_connections const clients{d, is_disturbed ? many : 1};
+    std::this_thread::sleep_for(50s);
     return judge_ends(d);
 }
 
@@ -387,9 +403,9 @@
 static int run_case(std::string const& name, deployment::settings const& s,
                     record& out, bool is_disturbed)
 {
-    if (name == "bodies")
+    if (name == "answers")
     {
-        return play_bodies(s, out, is_disturbed);
+        return play_answers(s, out, is_disturbed);
     }
     if (name == "endless")
     {
